--- /dev/null
+++ b/crates/sailcart-drill/src/env.rs
@@ -0,0 +1,146 @@
+//! The settings of an instance, read into [`Terms`] and the wire's names.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sailcart::{Category, Customer, Kind, Repeat, Return, Terms};
+use serde_json::Value;
+
+use crate::row::{Fault, member, span, take_number, take_text};
+
+/// The wire's names for what the sender knows by position.
+pub struct Names {
+    pub categories: HashMap<String, usize>,
+    pub customers: HashMap<String, usize>,
+    pub kinds: HashMap<String, usize>,
+    pub zones: HashMap<String, usize>,
+    /// Where a load report holds the share that is left, and the limit.
+    pub left: Option<usize>,
+    pub limit: Option<usize>,
+}
+
+pub fn read(env: &Value) -> Result<(Terms, Names), Fault> {
+    let bounds = member(env, "bounds")?;
+    let domain = member(env, "domain")?;
+    let rules = member(env, "rules")?;
+    let lanes = list(env, "lanes")?;
+    let customers = match env.get("customers") {
+        None | Some(Value::Null) => &[],
+        Some(_) => list(env, "customers")?,
+    };
+    let kinds = texts(list(env, "kinds")?, "kinds")?;
+    let columns = match env.get("report").and_then(|r| r.get("columns")) {
+        None | Some(Value::Null) => Vec::new(),
+        Some(columns) => texts(columns.as_array().ok_or("expected an array in columns")?, "columns")?,
+    };
+    let names = Names {
+        categories: positions(named(lanes)?),
+        customers: positions(named(customers)?),
+        zones: positions(texts(list(env, "areas")?, "areas")?),
+        left: columns.iter().position(|c| *c == "x0"),
+        limit: columns.iter().position(|c| *c == "x1"),
+        kinds: positions(kinds.clone()),
+    };
+    let retry_after = match truth(bounds, "retry_after")? {
+        true => Some(ms(bounds, "max_retry_after_ms")?),
+        false => None,
+    };
+    let terms = Terms {
+        senders: whole(env, "balancers")?,
+        slots: whole(domain, "call_slots")?,
+        hold: whole(bounds, "max_open")?,
+        dispatches: u32::try_from(whole(bounds, "send_cap")?).unwrap_or(u32::MAX),
+        connect_time_out: ms(bounds, "connect_timeout_ms")?,
+        retry_after,
+        settle: match rules.get("settle_after_doubt_ms") {
+            None | Some(Value::Null) => Duration::ZERO,
+            Some(_) => ms(rules, "settle_after_doubt_ms")?,
+        },
+        categories: lanes.iter().map(category).collect::<Result<_, _>>()?,
+        customers: customers
+            .iter()
+            .map(|c| Ok(Customer { quota: number(c, "quota_per_s")? }))
+            .collect::<Result<_, Fault>>()?,
+        over_share: match env.get("over_share_worth") {
+            None | Some(Value::Null) => 1.0,
+            Some(_) => number(env, "over_share_worth")?,
+        },
+        kinds: (0..kinds.len()).map(|i| kind(domain, i)).collect::<Result<_, _>>()?,
+        rates_listed: matches!(text(env, "weights")?, "nominal" | "rough"),
+        back: Return {
+            cold_from: number(rules, "cold_from")?,
+            cold: ms(rules, "cold_ms")?,
+            fall_multiple: number(rules, "fall_multiple")?,
+        },
+    };
+    Ok((terms, names))
+}
+
+fn category(lane: &Value) -> Result<Category, Fault> {
+    let repeat = match text(lane, "repeat")? {
+        "retryable" => Repeat::Idempotent,
+        "dedup" => Repeat::Deduplicated {
+            memory: ms(lane, "dedup_window_ms")?,
+            by_zone: text(lane, "group")? != "all",
+        },
+        "fragile" => Repeat::Unrepeatable,
+        other => return Err(format!("expected a known repeat, not {other}").into()),
+    };
+    Ok(Category {
+        repeat,
+        in_order: lane.get("fifo_by_key").and_then(Value::as_bool).unwrap_or(false),
+        soft_limit: ms(lane, "aim_ms")?,
+        patience: ms(lane, "hard_limit_ms")?,
+        credit: number(lane, "gain")?,
+        late_share: number(lane, "late_share")?,
+    })
+}
+
+/// The last of a list serves for the rest.
+fn kind(domain: &Value, at: usize) -> Result<Kind, Fault> {
+    let own = list(domain, "own_limits")?;
+    let batch = list(domain, "kind_batch")?;
+    let own =
+        own.get(at).or(own.last()).and_then(Value::as_bool).ok_or("expected truth values in own_limits")?;
+    let batch = batch.get(at).or(batch.last()).and_then(Value::as_u64);
+    let batch = batch.ok_or("expected whole numbers in kind_batch")?;
+    Ok(Kind { own_limits: own, batch: usize::try_from(batch).unwrap_or(1) })
+}
+
+fn positions(names: Vec<&str>) -> HashMap<String, usize> {
+    names.into_iter().enumerate().map(|(at, name)| (name.to_owned(), at)).collect()
+}
+
+fn named(list: &[Value]) -> Result<Vec<&str>, Fault> {
+    list.iter().map(|entry| text(entry, "name")).collect()
+}
+
+fn texts<'a>(list: &'a [Value], what: &str) -> Result<Vec<&'a str>, Fault> {
+    list.iter().map(|entry| take_text(entry, what)).collect()
+}
+
+fn list<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], Fault> {
+    let list = member(value, key)?.as_array();
+    list.map(Vec::as_slice).ok_or_else(|| format!("expected an array in {key}").into())
+}
+
+fn text<'a>(value: &'a Value, key: &str) -> Result<&'a str, Fault> {
+    take_text(member(value, key)?, key)
+}
+
+fn number(value: &Value, key: &str) -> Result<f64, Fault> {
+    take_number(member(value, key)?, key)
+}
+
+fn ms(value: &Value, key: &str) -> Result<Duration, Fault> {
+    span(member(value, key)?, key)
+}
+
+fn whole(value: &Value, key: &str) -> Result<usize, Fault> {
+    let whole = member(value, key)?.as_u64().and_then(|n| usize::try_from(n).ok());
+    whole.ok_or_else(|| format!("expected a whole number in {key}").into())
+}
+
+fn truth(value: &Value, key: &str) -> Result<bool, Fault> {
+    member(value, key)?.as_bool().ok_or_else(|| format!("expected true or false in {key}").into())
+}
