Silent calls give way to well destinations; trials hold half the slots

Change: where no slot is free and a well destination waits, silent calls beyond a quarter of the slots are called off, repeatable ones first; lanes in trouble together hold half the slots at most. Also covers slow destinations. Harm: an answer that was about to come is lost; an unrepeatable packet is scrapped. Time-outs grow with losses in a row instead of feeding the pace.

--- a/crates/sailcart-drill/src/env.rs
+++ b/crates/sailcart-drill/src/env.rs
@@ -50,6 +50,7 @@
         slots: whole(domain, "call_slots")?,
         hold: whole(bounds, "max_open")?,
         dispatches: u32::try_from(whole(bounds, "send_cap")?).unwrap_or(u32::MAX),
+        cancel: truth(bounds, "cancel")?,
         connect_time_out: ms(bounds, "connect_timeout_ms")?,
         retry_after,
         settle: match rules.get("settle_after_doubt_ms") {
--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -227,6 +227,10 @@
         self.out.push(json!(["Place", handle, address, ms(time_out)]));
     }
 
+    fn cancel(&mut self, packet: PacketId, dispatch: u32) {
+        self.out.push(json!(["DropAttempt", self.book.handles.get(&packet), dispatch]));
+    }
+
     fn dismiss(&mut self, packet: PacketId, retry_after: Option<Duration>) {
         self.out.push(json!(["SayNo", self.book.handles.get(&packet), retry_after.map(ms)]));
         self.book.forget(packet);
--- a/src/control.rs
+++ b/src/control.rs
@@ -267,9 +267,10 @@
 struct Call {
     endpoint: EndpointId,
     sent: Duration,
-    /// Packets of it without an outcome.
-    out: usize,
+    /// Those without an outcome.
+    packets: Vec<PacketId>,
     judged: bool,
+    given_up: bool,
 }
 
 /// The first dispatch that may have run.
@@ -313,6 +314,7 @@
     slots: usize,
     most_held: usize,
     dispatches: u32,
+    cancel: bool,
     retry_after: Option<Duration>,
     settle: Duration,
     categories: Vec<Category>,
@@ -335,6 +337,7 @@
             slots: terms.slots,
             most_held: terms.hold - (terms.hold / SPARE).max(1).min(terms.hold),
             dispatches: terms.dispatches,
+            cancel: terms.cancel,
             retry_after: terms.retry_after,
             settle: terms.settle,
             quotas: terms.customers.iter().map(|c| c.quota / senders).collect(),
@@ -544,17 +547,18 @@
                 lane.note_done(now, elapsed, figures);
             }
             Outcome::Full(wait) => lane.note_full(now, call.sent, wait, figures),
-            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::NoConnection => {
+            Outcome::Error
+            | Outcome::TimedOut
+            | Outcome::Reset
+            | Outcome::NoConnection
+            | Outcome::Cancelled => {
                 endpoint.cap = 1;
                 endpoint.lost.add(now, figures.soft);
-                let silent =
-                    outcome == Outcome::TimedOut && lane.answered.is_none_or(|answered| answered < call.sent);
-                if outcome == Outcome::TimedOut {
-                    lane.note_pace(elapsed);
-                }
+                let waited = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+                let silent = waited && lane.answered.is_none_or(|answered| answered < call.sent);
                 lane.note_loss(now, 1.0, silent, figures);
             }
-            Outcome::Cancelled | Outcome::NoSlot | Outcome::Moot => {}
+            Outcome::NoSlot | Outcome::Moot => {}
         }
         told
     }
@@ -571,7 +575,7 @@
                     destination.held.remove(&id);
                 }
             }
-            (State::Out(call, _) | State::Withdrawn(call), _) => self.come_back(call, destination),
+            (State::Out(call, _) | State::Withdrawn(call), _) => self.come_back(call, id, destination),
             _ => {}
         }
         match to {
@@ -579,7 +583,7 @@
             State::Spent(_) => self.spent.push(id),
             State::Out(call, _) => {
                 if let Some(call) = self.calls.get_mut(&call) {
-                    call.out += 1;
+                    call.packets.push(id);
                 }
             }
             State::Withdrawn(_) => {}
@@ -604,10 +608,10 @@
         self.grown.insert(kept.packet.destination);
     }
 
-    fn come_back(&mut self, call_id: u64, destination: DestinationId) {
+    fn come_back(&mut self, call_id: u64, id: PacketId, destination: DestinationId) {
         let Some(call) = self.calls.get_mut(&call_id) else { return };
-        call.out -= 1;
-        if call.out > 0 {
+        call.packets.retain(|other| *other != id);
+        if !call.packets.is_empty() {
             return;
         }
         if let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) {
@@ -637,6 +641,7 @@
         self.watch_silence();
         self.dismiss_hopeless(host);
         self.make_room(host);
+        self.give_way(host);
         self.place(host);
         self.set_wake(host);
     }
@@ -752,6 +757,45 @@
         }
     }
 
+    /// Guards against slots that are filled by calls which many destinations leave unanswered: when no slot is
+    /// free and a well destination has packets waiting, silent calls beyond a quarter of the slots are given
+    /// up, what may be repeated first. Harm: a slow answer that was about to come is lost.
+    fn give_way(&mut self, host: &mut impl Host) {
+        if !self.figures.cancel || self.calls.len() < self.figures.slots || !self.well_waits() {
+            return;
+        }
+        let mut silent: Vec<(bool, Duration, u64)> = Vec::new();
+        for (id, call) in &self.calls {
+            let Some(lane) = self.endpoints.get(&call.endpoint).and_then(|e| self.lanes.get(&e.lane)) else {
+                continue;
+            };
+            if lane.health != Health::Well && self.now >= call.sent + quiet_after(lane, &self.figures) {
+                let last = call
+                    .packets
+                    .iter()
+                    .any(|p| self.figures.category(&self.packets[p].packet).repeat == Repeat::Unrepeatable);
+                silent.push((last, call.sent, *id));
+            }
+        }
+        silent.sort();
+        for (_, _, id) in silent.iter().take(silent.len().saturating_sub(self.figures.slots / 4)) {
+            let Some(call) = self.calls.get_mut(id) else { continue };
+            if !std::mem::replace(&mut call.given_up, true) {
+                for packet in &call.packets {
+                    host.cancel(*packet, self.packets[packet].dispatches - 1);
+                }
+            }
+        }
+    }
+
+    fn well_waits(&self) -> bool {
+        self.destinations.values().any(|d| {
+            !d.held.is_empty()
+                && d.calls < self.slots_for(d)
+                && d.endpoints.iter().any(|e| self.lanes[&self.endpoints[e].lane].health == Health::Well)
+        })
+    }
+
     /// Past its bucket a packet takes any free slot; while there are fewer slots than takers, the next goes
     /// to the destination furthest below its max-min share.
     fn place(&mut self, host: &mut impl Host) {
@@ -824,7 +868,10 @@
         ranked.truncate(batch);
         let call = self.next_call;
         self.next_call += 1;
-        self.calls.insert(call, Call { endpoint: endpoint_id, sent: self.now, out: 0, judged: false });
+        self.calls.insert(
+            call,
+            Call { endpoint: endpoint_id, sent: self.now, packets: vec![], judged: false, given_up: false },
+        );
         if let Some(lane) = self.lanes.get_mut(&lane_id) {
             lane.bucket.tokens -= 1.0;
         }
@@ -856,6 +903,7 @@
         let category = self.figures.category(&kept.packet);
         let lane = &self.lanes[&self.endpoints[&endpoint].lane];
         let measured = times(lane.expected(&self.figures), WAITED).max(category.soft_limit);
+        let measured = times(measured, 1.0 + lane.row / LOSSES);
         let span = match category.repeat {
             Repeat::Unrepeatable => category.patience / 2,
             _ => measured.min(category.patience / 3),
@@ -866,7 +914,9 @@
     /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
     /// have: its free part, less the share of calls that it lost of late.
     fn draw(&mut self, id: DestinationId) -> Option<EndpointId> {
+        let trials = self.trials();
         let (now, figures) = (self.now, &self.figures);
+        let most_trials = (figures.slots / 2).max(1);
         let mut odds: Vec<(f64, EndpointId)> = Vec::new();
         for endpoint_id in &self.destinations[&id].endpoints {
             let Some(endpoint) = self.endpoints.get_mut(endpoint_id) else { continue };
@@ -875,6 +925,9 @@
             if !endpoint.live || free == 0 || !lane.opens_in(now, figures).is_zero() {
                 continue;
             }
+            if matches!(lane.health, Health::Quiet(_) | Health::Sick(_)) && trials >= most_trials {
+                continue;
+            }
             if let Some((since, most)) = lane.in_trouble() {
                 let lane_id = endpoint.lane;
                 let calls = self.calls.values().filter(|c| c.sent >= since && c.endpoint == *endpoint_id);
@@ -899,6 +952,12 @@
         odds.last().map(|(_, id)| *id)
     }
 
+    /// Calls out to lanes in trouble.
+    fn trials(&self) -> usize {
+        let lanes = self.calls.values().filter_map(|c| self.endpoints.get(&c.endpoint)).map(|e| e.lane);
+        lanes.filter(|id| matches!(self.lanes[id].health, Health::Quiet(_) | Health::Sick(_))).count()
+    }
+
     /// Whether it is a held packet's turn, and its doubt allows this zone.
     fn may_go(&self, id: PacketId, zone: ZoneId) -> bool {
         let kept = &self.packets[&id];
--- a/src/host.rs
+++ b/src/host.rs
@@ -86,6 +86,8 @@
     /// Packets held at most, sent or not.
     pub hold: usize,
     pub dispatches: u32,
+    /// A dispatch may be called off.
+    pub cancel: bool,
     pub connect_time_out: Duration,
     /// How long clients can be told to stay away; `None` where they are told nothing.
     pub retry_after: Option<Duration>,
@@ -158,6 +160,8 @@
 pub trait Host {
     /// Dispatches of one round to one endpoint travel as one call, up to the kind's batch.
     fn dispatch(&mut self, packet: PacketId, endpoint: EndpointId, time_out: Duration);
+    /// Call off a packet's dispatch, counted from 0; its outcome still comes.
+    fn cancel(&mut self, packet: PacketId, dispatch: u32);
     /// Final answer: handing it in again is harmless.
     fn dismiss(&mut self, packet: PacketId, retry_after: Option<Duration>);
     /// Final answer that promises nothing.
