Refusals make an outage only when the row lasts a soft limit

Change: a row of refusals counts as an outage only once it has lasted a soft limit. Guards less against a destination that shuts for under that time; there the halved rate alone protects it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -113,6 +113,7 @@
     lost: Tally,
     /// Losses since the last answer.
     row: f64,
+    row_since: Duration,
     /// Answers since it is back.
     answers: usize,
     answered: Option<Duration>,
@@ -135,6 +136,7 @@
             done: Tally::default(),
             lost: Tally::default(),
             row: 0.0,
+            row_since: Duration::ZERO,
             answers: 0,
             answered: None,
             pace: None,
@@ -217,10 +219,15 @@
     /// answers of late, or a time-out while nothing else answered, make an outage.
     fn note_loss(&mut self, now: Duration, weight: f64, silent: bool, figures: &Figures) {
         self.lost.add(now, figures.soft);
+        if self.row == 0.0 {
+            self.row_since = now;
+        }
         self.row += weight;
         let lost = self.lost.read(now, figures.soft);
         let most = weight == 1.0 && lost >= LOSSES && lost > self.done.read(now, figures.soft);
-        if (self.row >= LOSSES || most || silent) && !matches!(self.health, Health::Sick(_)) {
+        // Refusals of a limit come in short rows; those of a destination that is shut go on.
+        let lasting = weight == 1.0 || now - self.row_since >= figures.soft;
+        if (self.row >= LOSSES && lasting || most || silent) && !matches!(self.health, Health::Sick(_)) {
             self.health = Health::Sick(now);
         }
     }
