--- a/src/control.rs
+++ b/src/control.rs
@@ -25,10 +25,10 @@
 const CUT: f64 = 0.5;
 /// Each success gives back this share of the listed or last known rate.
 const LIFT: f64 = 1.0 / 16.0;
-/// A bucket holds this long a stretch of its rate.
-const BURST: Duration = Duration::from_secs(1);
+/// A bucket holds this long a stretch of its rate; a whole second overran the small limits.
+const BURST: Duration = Duration::from_millis(500);
 /// Of what the return rule allows, the part that is used: other senders and chance need the rest.
-const GUARD: f64 = 0.75;
+const GUARD: f64 = 0.9;
 /// A call that is out this many times the usual answer time, while nothing else answers, is a silence.
 const SILENCE: f64 = 6.0;
 /// A dispatch is given up after this many times the usual answer time.
@@ -338,7 +338,7 @@
 impl Figures {
     fn new(terms: Terms) -> Self {
         let senders = terms.senders.max(1) as f64;
-        let soft = terms.categories.iter().map(|c| c.soft_limit).min().unwrap_or(BURST);
+        let soft = terms.categories.iter().map(|c| c.soft_limit).min().unwrap_or_default();
         Figures {
             senders,
             slots: terms.slots,
