--- a/src/control.rs
+++ b/src/control.rs
@@ -26,7 +26,7 @@
 /// Each success gives back this share of the listed or last known rate.
 const LIFT: f64 = 1.0 / 16.0;
 /// A bucket holds this long a stretch of its rate; a whole second overran the small limits.
-const BURST: Duration = Duration::from_millis(500);
+const BURST: Duration = Duration::from_millis(250);
 /// Of what the return rule allows, the part that is used: other senders and chance need the rest.
 const GUARD: f64 = 0.9;
 /// A call that is out this many times the usual answer time, while nothing else answers, is a silence.
