--- a/src/control.rs
+++ b/src/control.rs
@@ -245,6 +245,7 @@
             }
             self.rate = Some(self.rate.map_or(served, |rate| rate * CUT).max(FLOOR));
             self.cut_at = Some(now);
+            self.bucket.tokens = self.bucket.tokens.min(0.0);
         }
         self.note_loss(now, 0.5, false, figures);
     }
@@ -546,7 +547,9 @@
         if std::mem::replace(&mut call.judged, true) {
             return told;
         }
-        let _ = allowance;
+        if let Some(told) = allowance.filter(|told| told.limit > 0.0) {
+            lane.bucket.tokens = lane.bucket.tokens.min((4.0 * told.left * lane.top * BURST.as_secs_f64()).max(told.left * 4.0));
+        }
         match outcome {
             Outcome::Done => {
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
