--- a/src/control.rs
+++ b/src/control.rs
@@ -547,9 +547,7 @@
         if std::mem::replace(&mut call.judged, true) {
             return told;
         }
-        if let Some(told) = allowance.filter(|told| told.limit > 0.0) {
-            lane.bucket.tokens = lane.bucket.tokens.min((4.0 * told.left * lane.top * BURST.as_secs_f64()).max(told.left * 4.0));
-        }
+        let _ = allowance;
         match outcome {
             Outcome::Done => {
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
