--- a/src/control.rs
+++ b/src/control.rs
@@ -109,6 +109,7 @@
     blocked: Duration,
     cut_at: Option<Duration>,
     health: Health,
+    first: Option<Duration>,
     done: Tally,
     lost: Tally,
     /// Losses since the last answer.
@@ -133,6 +134,7 @@
             blocked: Duration::ZERO,
             cut_at: None,
             health: Health::Well,
+            first: None,
             done: Tally::default(),
             lost: Tally::default(),
             row: 0.0,
@@ -179,6 +181,13 @@
         }
     }
 
+    /// Calls answered a second; a lane used for less than the sum's span is judged by the time it was used.
+    fn served(&mut self, now: Duration, figures: &Figures) -> f64 {
+        let span = figures.soft.as_secs_f64();
+        let used = now.saturating_sub(self.first.unwrap_or(now)).as_secs_f64().max(span / 8.0);
+        self.done.read(now, figures.soft) / (span * (1.0 - (-used / span).exp()))
+    }
+
     fn expected(&self, figures: &Figures) -> Duration {
         self.pace.unwrap_or(figures.soft / 4)
     }
@@ -188,6 +197,7 @@
     }
 
     fn note_done(&mut self, now: Duration, elapsed: Duration, figures: &Figures) {
+        self.first.get_or_insert(now.saturating_sub(elapsed));
         self.done.add(now, figures.soft);
         self.row = 0.0;
         self.answers += 1;
@@ -195,7 +205,7 @@
         self.note_pace(elapsed);
         match self.health {
             Health::Well => {
-                let seen = self.done.read(now, figures.soft) / figures.soft.as_secs_f64();
+                let seen = self.served(now, figures);
                 self.usual = seen.max(self.usual - (self.usual - seen) / 64.0).max(FLOOR);
             }
             Health::Quiet(_) => self.health = Health::Well,
@@ -239,7 +249,7 @@
             self.blocked = self.blocked.max(now + wait);
         }
         if self.cut_at.is_none_or(|cut| sent > cut) {
-            let served = self.done.read(now, figures.soft) / figures.soft.as_secs_f64();
+            let served = self.served(now, figures);
             if self.listed.is_none() && self.row == 0.0 {
                 self.top = self.rate.unwrap_or(served).max(FLOOR);
             }
