A success lifts r by an eighth of a call a second at least

Cause: an unlisted lane that was refused early got r and its step from a served rate of a few calls and never climbed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -220,7 +220,7 @@
             Health::Back(_) => {}
         }
         if let Some(rate) = self.rate {
-            let lifted = rate + self.top * LIFT;
+            let lifted = rate + self.top.max(2.0) * LIFT;
             self.rate = Some(self.listed.map_or(lifted, |listed| lifted.min(listed)));
         }
     }
