--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,8 @@
 const CUT: f64 = 0.5;
 /// Each success gives back this share of the listed or last known rate.
 const LIFT: f64 = 1.0 / 16.0;
+/// And at least this many calls a second: a lane refused early must climb without a known rate.
+const STEP: f64 = FLOOR / 2.0;
 /// A bucket holds this long a stretch of its rate; a whole second overran the small limits.
 const BURST: Duration = Duration::from_millis(250);
 /// Of what the return rule allows, the part that is used: other senders and chance need the rest.
@@ -220,7 +222,7 @@
             Health::Back(_) => {}
         }
         if let Some(rate) = self.rate {
-            let lifted = rate + self.top.max(2.0) * LIFT;
+            let lifted = rate + (self.top * LIFT).max(STEP);
             self.rate = Some(self.listed.map_or(lifted, |listed| lifted.min(listed)));
         }
     }
