--- a/crates/sailcart-drill/src/env.rs
+++ b/crates/sailcart-drill/src/env.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sailcart::{Category, Customer, Kind, Repeat, Return, Terms};
+use sailcart::{Category, Customer, Kind, Late, Repeat, Return, Terms};
 use serde_json::Value;
 
 use crate::row::{Fault, member, span, take_number, take_text};
@@ -68,6 +68,11 @@
         },
         kinds: (0..kinds.len()).map(|i| kind(domain, i)).collect::<Result<_, _>>()?,
         rates_listed: matches!(text(env, "weights")?, "nominal" | "rough"),
+        late: match text(domain, "late")? {
+            "line" => Late::Line,
+            "halves" => Late::Halves,
+            other => return Err(format!("expected a known way in late, not {other}").into()),
+        },
         back: Return {
             cold_from: number(rules, "cold_from")?,
             cold: ms(rules, "cold_ms")?,
--- a/src/host.rs
+++ b/src/host.rs
@@ -53,6 +53,15 @@
     pub late_share: f64,
 }
 
+/// How credit falls after the soft limit, down to the category's share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Late {
+    /// Evenly until the patience ends.
+    Line,
+    /// By half with each further soft limit.
+    Halves,
+}
+
 /// A customer's agreed packets a second over all senders.
 #[derive(Clone, Debug)]
 pub struct Customer {
@@ -100,6 +109,7 @@
     pub kinds: Vec<Kind>,
     /// The destination list tells each destination's rate.
     pub rates_listed: bool,
+    pub late: Late,
     pub back: Return,
 }
 
