--- a/src/control.rs
+++ b/src/control.rs
@@ -317,7 +317,7 @@
 struct Kept {
     packet: Packet,
     soft: Duration,
-    bottom: Duration,
+    late_at: Duration,
     dispatches: u32,
     over_share: bool,
     state: State,
@@ -480,15 +480,13 @@
         self.now = now;
         let category = self.figures.category(&packet);
         let soft = packet.ends.saturating_sub(category.patience.saturating_sub(category.soft_limit));
-        let falls =
-            if self.figures.by_halves { 1.0 / category.late_share.clamp(0.01, 1.0) } else { f64::INFINITY };
-        let bottom = soft.saturating_add(times(category.soft_limit, falls.log2())).min(packet.ends);
+        let late_at = if self.figures.by_halves { soft } else { packet.ends };
         if let (true, Some(key)) = (category.in_order, packet.key) {
             self.turns.entry(key).or_default().queue.push_back(packet.id);
         }
         let over_share = packet.customer.is_some_and(|customer| self.over_share(customer));
         let id = packet.id;
-        let kept = Kept { packet, soft, bottom, dispatches: 0, over_share, state: State::Held(None) };
+        let kept = Kept { packet, soft, late_at, dispatches: 0, over_share, state: State::Held(None) };
         self.packets.insert(id, kept);
         self.enter_held(id, None);
     }
@@ -1006,7 +1004,7 @@
             Repeat::Deduplicated { .. } => 1,
             Repeat::Unrepeatable => 2,
         };
-        let late = kept.bottom < self.now + lane.expected(&self.figures);
+        let late = kept.late_at < self.now + lane.expected(&self.figures);
         let by = if late { kept.packet.ends } else { kept.soft };
         let (risk, dispatches) = if trial { (risk, kept.dispatches) } else { (0, 0) };
         (risk, dispatches, kept.over_share, late, by)
