--- a/crates/sailcart-drill/src/env.rs
+++ b/crates/sailcart-drill/src/env.rs
@@ -14,9 +14,6 @@
     pub customers: HashMap<String, usize>,
     pub kinds: HashMap<String, usize>,
     pub zones: HashMap<String, usize>,
-    /// Where a load report holds the share that is left, and the limit.
-    pub left: Option<usize>,
-    pub limit: Option<usize>,
 }
 
 pub fn read(env: &Value) -> Result<(Terms, Names), Fault> {
@@ -29,16 +26,10 @@
         Some(_) => list(env, "customers")?,
     };
     let kinds = texts(list(env, "kinds")?, "kinds")?;
-    let columns = match env.get("report").and_then(|r| r.get("columns")) {
-        None | Some(Value::Null) => Vec::new(),
-        Some(columns) => texts(columns.as_array().ok_or("expected an array in columns")?, "columns")?,
-    };
     let names = Names {
         categories: positions(named(lanes)?),
         customers: positions(named(customers)?),
         zones: positions(texts(list(env, "areas")?, "areas")?),
-        left: columns.iter().position(|c| *c == "x0"),
-        limit: columns.iter().position(|c| *c == "x1"),
         kinds: positions(kinds.clone()),
     };
     let retry_after = match truth(bounds, "retry_after")? {
--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use sailcart::{
-    Allowance, CategoryId, CustomerId, DestinationId, EndpointId, Host, KeyId, KindId, Listing, Outcome,
-    Packet, PacketId, Sender, ZoneId,
+    CategoryId, CustomerId, DestinationId, EndpointId, Host, KeyId, KindId, Listing, Outcome, Packet,
+    PacketId, Sender, ZoneId,
 };
 use serde_json::{Value, json};
 
@@ -159,28 +159,14 @@
             other => return Err(format!("expected a known outcome, not {other}").into()),
         };
         row.text(6, "endpoint")?;
-        let allowance = self.allowance(row)?;
         let now = self.now(wall);
         if let Some(id) = self.book.packets.get(handle).copied() {
-            self.sender.outcome(now, id, elapsed, outcome, over, allowance);
+            self.sender.outcome(now, id, elapsed, outcome, over);
             self.prune(id);
         }
         Ok(())
     }
 
-    fn allowance(&self, row: &Row) -> Result<Option<Allowance>, Fault> {
-        let (Some(left), Some(limit), Some(load)) = (self.names.left, self.names.limit, row.maybe(7)) else {
-            return Ok(None);
-        };
-        let load = Row::plain(load, "load")?;
-        match (load.maybe(left), load.maybe(limit)) {
-            (Some(left), Some(limit)) => {
-                Ok(Some(Allowance { left: take_number(left, "x0")?, limit: take_number(limit, "x1")? }))
-            }
-            _ => Ok(None),
-        }
-    }
-
     pub fn dropped(&mut self, wall: Duration, row: &Row) -> Result<(), Fault> {
         let handle = row.text(0, "handle")?;
         let now = self.now(wall);
--- a/src/host.rs
+++ b/src/host.rs
@@ -157,15 +157,6 @@
     Moot,
 }
 
-/// What a destination told of its limit beside an outcome.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Allowance {
-    /// Share that is left just now.
-    pub left: f64,
-    /// Calls a second; 0 where there is no limit.
-    pub limit: f64,
-}
-
 /// What carries out the decisions. All calls come from within [`Sender::decide`](crate::Sender::decide).
 pub trait Host {
     /// Dispatches of one round to one endpoint travel as one call, up to the kind's batch.
