--- a/src/control.rs
+++ b/src/control.rs
@@ -122,9 +122,7 @@
     blocked: Duration,
     cut_at: Option<Duration>,
     health: Health,
-    first: Option<Duration>,
     done: Tally,
-    lost: Tally,
     /// Losses since the last answer, and when they began.
     row: f64,
     row_since: Duration,
@@ -182,15 +180,12 @@
         times(self.expected(figures), SILENCE).clamp(figures.soft / 4, figures.soft)
     }
 
-    /// Calls answered a second; a lane used for less than the sum's span is judged by the time it was used.
+    /// Calls answered a second.
     fn served(&mut self, now: Duration, figures: &Figures) -> f64 {
-        let span = figures.soft.as_secs_f64();
-        let used = now.saturating_sub(self.first.unwrap_or(now)).as_secs_f64().max(span / 8.0);
-        self.done.read(now, figures.soft) / (span * (1.0 - (-used / span).exp()))
+        self.done.read(now, figures.soft) / figures.soft.as_secs_f64()
     }
 
     fn note_done(&mut self, now: Duration, elapsed: Duration, figures: &Figures) {
-        self.first.get_or_insert(now.saturating_sub(elapsed));
         self.done.add(now, figures.soft);
         (self.row, self.answered) = (0.0, Some(now));
         self.answers += 1;
@@ -202,7 +197,7 @@
             }
             Health::Quiet(_) => self.health = Health::Well,
             Health::Sick(_) => {
-                (self.health, self.answers, self.lost) = (Health::Back(now), 1, Tally::default());
+                (self.health, self.answers) = (Health::Back(now), 1);
                 // Refusals of a destination that was shut said nothing of its limit.
                 self.rate = self.rate.map(|rate| rate.max(self.top));
             }
@@ -216,20 +211,16 @@
         });
     }
 
-    /// A loss: a call that came back without an answer to its packet. Losses in a row, or more losses than
-    /// answers of late, or a time-out while nothing else answered, make an outage. Refusals of a limit come
-    /// in short rows, those of a destination that is shut go on: they must last a soft limit.
+    /// A loss: a call that came back without an answer to its packet. Losses in a row make an outage, or a
+    /// time-out while nothing else answered. Refusals of a limit come in short rows, those of a destination
+    /// that is shut go on: they must last a soft limit.
     fn note_loss(&mut self, now: Duration, weight: f64, silent: bool, figures: &Figures) {
-        self.lost.add(now, figures.soft);
         if self.row == 0.0 {
             self.row_since = now;
         }
         self.row += weight;
-        let lost = self.lost.read(now, figures.soft);
-        let most = weight == 1.0 && lost >= LOSSES && lost > self.done.read(now, figures.soft);
         let lasting = weight == 1.0 || now - self.row_since >= figures.soft;
-        let outage = self.row >= LOSSES && lasting || most || silent;
-        if outage && !matches!(self.health, Health::Sick(_)) {
+        if (self.row >= LOSSES && lasting || silent) && !matches!(self.health, Health::Sick(_)) {
             self.health = Health::Sick(now);
         }
     }
@@ -256,9 +247,8 @@
     batch: usize,
     live: bool,
     calls: usize,
+    /// Calls that it may have in flight.
     cap: usize,
-    done: Tally,
-    lost: Tally,
 }
 
 #[derive(Default)]
@@ -450,8 +440,7 @@
                 (lane.listed, lane.rate, lane.top) = (Some(line.rate), Some(line.rate), line.rate);
             }
             let (lane, zone, live) = (id, line.zone, line.live);
-            let (done, lost) = Default::default();
-            let new = Endpoint { lane, zone, batch, live, calls: 0, cap, done, lost };
+            let new = Endpoint { lane, zone, batch, live, calls: 0, cap };
             self.endpoints.entry(line.endpoint).or_insert(new).live = live;
         }
         self.endpoints.retain(|_, e| e.live || e.calls > 0);
@@ -536,14 +525,12 @@
         match outcome {
             Outcome::Done => {
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
-                endpoint.done.add(now, figures.soft);
                 lane.note_done(now, elapsed, figures);
             }
             Outcome::Full(_) => lane.note_full(now, call.sent, figures),
             Outcome::NoSlot | Outcome::Moot => {}
             _ => {
                 endpoint.cap = 1;
-                endpoint.lost.add(now, figures.soft);
                 let waited = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
                 let silent = waited && lane.answered.is_none_or(|answered| answered < call.sent);
                 lane.note_loss(now, 1.0, silent, figures);
@@ -853,8 +840,7 @@
     }
 
     /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
-    /// have: its free part, less the share of calls that it lost of late. Lanes in silence together hold half
-    /// of the slots at most, and each has its bucket and its number of calls out since its trouble began.
+    /// have, which its cap on calls in flight tells. Lanes in silence together hold half of the slots at most, and each has its bucket and its number of calls out since its trouble began.
     fn draw(&mut self, id: DestinationId) -> Option<EndpointId> {
         let trials =
             self.calls.values().filter(|c| self.lanes.get(&c.lane).is_some_and(|l| l.health.silent()));
@@ -870,9 +856,7 @@
             let no_trial = lane.health.silent() && trials_left == 0;
             let shut = !endpoint.live || free == 0 || !lane.opens_in(now, figures).is_zero();
             if !shut && !in_trouble && !no_trial {
-                let (done, lost) =
-                    (endpoint.done.read(now, figures.soft), endpoint.lost.read(now, figures.soft));
-                odds.push((free as f64 * (1.0 + done) / (1.0 + done + lost), *id));
+                odds.push((free as f64, *id));
             }
         }
         let mut drawn = self.rng.random::<f64>() * odds.iter().map(|(odds, _)| odds).sum::<f64>();
