Lanes outlive their endpoints, so that a told wait or an outage is not forgotten

Now a destination ages out only after the time of warming; only the pace belongs to the machines and is measured anew.

--- a/src/control.rs
+++ b/src/control.rs
@@ -85,8 +85,8 @@
         tokens
     }
 
-    fn take(&mut self) {
-        self.tokens = self.tokens.map(|tokens| tokens - 1.0);
+    fn take(&mut self, spent: f64) {
+        self.tokens = self.tokens.map(|tokens| tokens - spent);
     }
 }
 
@@ -94,10 +94,10 @@
 enum Health {
     #[default]
     Well,
-    /// Calls stay out since then and nothing answers; no outage yet.
-    Quiet(Duration),
+    /// Calls stay out and nothing answers; no outage yet.
+    Quiet,
     /// An outage was seen.
-    Sick(Duration),
+    Sick,
     /// It answered after an outage and may be cold since then.
     Back(Duration),
 }
@@ -105,7 +105,7 @@
 impl Health {
     /// Nothing answers now.
     fn silent(self) -> bool {
-        matches!(self, Health::Quiet(_) | Health::Sick(_))
+        matches!(self, Health::Quiet | Health::Sick)
     }
 }
 
@@ -126,8 +126,6 @@
     /// Losses since the last answer, and when they began.
     row: f64,
     row_since: Duration,
-    /// Answers since it is back.
-    answers: usize,
     answered: Option<Duration>,
     /// Mean time to an answer.
     pace: Option<Duration>,
@@ -140,14 +138,15 @@
     /// warm, so that the moment of its return needs not be known. Covers every kind of outage, as it goes by
     /// losses alone. Harm: a lane that lost calls by chance is slow for the time of warming.
     fn guard(&self, now: Duration, figures: &Figures) -> f64 {
+        let back = &figures.back;
         let warm = match self.health {
             Health::Well => return f64::INFINITY,
-            Health::Quiet(_) | Health::Sick(_) => 0.0,
-            Health::Back(since) => (now - since).as_secs_f64() / figures.cold.as_secs_f64(),
+            Health::Quiet | Health::Sick => 0.0,
+            Health::Back(since) => (now - since).as_secs_f64() / back.cold.as_secs_f64(),
         };
-        let present = figures.cold_from + (1.0 - figures.cold_from) * warm.min(1.0);
+        let present = back.cold_from + (1.0 - back.cold_from) * warm.min(1.0);
         let part = self.listed.map_or(self.usual, |listed| listed / figures.senders);
-        (GUARD * figures.fall_multiple * present * part).max(FLOOR / figures.senders)
+        (GUARD * back.fall_multiple * present * part).max(FLOOR / figures.senders)
     }
 
     /// How long until the bucket has a token and no wait stands; zero if a call may go now.
@@ -162,15 +161,6 @@
         blocked.max(span_of(1.0 - self.bucket.read(now, rate, burst), rate))
     }
 
-    /// Calls sent since trouble began that may be out at once.
-    fn most_out(&self) -> Option<(Duration, usize)> {
-        match self.health {
-            Health::Well => None,
-            Health::Quiet(since) | Health::Sick(since) => Some((since, 1)),
-            Health::Back(since) => Some((since, 1 + self.answers)),
-        }
-    }
-
     fn expected(&self, figures: &Figures) -> Duration {
         self.pace.unwrap_or(figures.soft / 4)
     }
@@ -188,20 +178,19 @@
     fn note_done(&mut self, now: Duration, elapsed: Duration, figures: &Figures) {
         self.done.add(now, figures.soft);
         (self.row, self.answered) = (0.0, Some(now));
-        self.answers += 1;
         self.pace = Some(self.pace.map_or(elapsed, |pace| (pace * 7 + elapsed) / 8));
         match self.health {
             Health::Well => {
                 let seen = self.served(now, figures);
                 self.usual = seen.max(self.usual - (self.usual - seen) / 64.0).max(FLOOR);
             }
-            Health::Quiet(_) => self.health = Health::Well,
-            Health::Sick(_) => {
-                (self.health, self.answers) = (Health::Back(now), 1);
+            Health::Quiet => self.health = Health::Well,
+            Health::Sick => {
+                self.health = Health::Back(now);
                 // Refusals of a destination that was shut said nothing of its limit.
                 self.rate = self.rate.map(|rate| rate.max(self.top));
             }
-            Health::Back(since) if now - since >= figures.cold => self.health = Health::Well,
+            Health::Back(since) if now - since >= figures.back.cold => self.health = Health::Well,
             Health::Back(_) => {}
         }
         let step = self.top * LIFT;
@@ -220,8 +209,8 @@
         }
         self.row += weight;
         let lasting = weight == 1.0 || now - self.row_since >= figures.soft;
-        if (self.row >= LOSSES && lasting || silent) && !matches!(self.health, Health::Sick(_)) {
-            self.health = Health::Sick(now);
+        if self.row >= LOSSES && lasting || silent {
+            self.health = Health::Sick;
         }
     }
 
@@ -244,7 +233,6 @@
 struct Endpoint {
     lane: LaneId,
     zone: ZoneId,
-    batch: usize,
     live: bool,
     calls: usize,
     /// Calls that it may have in flight.
@@ -254,8 +242,11 @@
 #[derive(Default)]
 struct Destination {
     endpoints: BTreeSet<EndpointId>,
+    lanes: BTreeSet<LaneId>,
+    batch: usize,
     held: BTreeSet<PacketId>,
     calls: usize,
+    used: Duration,
 }
 
 /// A lane is the destination's, or one route's.
@@ -317,11 +308,10 @@
     in_order: bool,
     soft: Duration,
     patience: Duration,
-    /// Left for the trip before an end.
-    trip: Duration,
 }
 
 /// What decisions use of the terms.
+#[derive(Default)]
 struct Figures {
     senders: f64,
     slots: usize,
@@ -338,20 +328,15 @@
     by_halves: bool,
     /// The tightest soft limit: the scale of all that is measured.
     soft: Duration,
-    cold_from: f64,
-    cold: Duration,
-    fall_multiple: f64,
+    back: Return,
 }
 
 impl Figures {
     fn new(terms: Terms) -> Self {
         let least = Duration::from_millis(1);
-        let trade = |c: &Category| Trade {
-            repeat: c.repeat,
-            in_order: c.in_order,
-            soft: c.soft_limit.max(least),
-            patience: c.patience,
-            trip: c.soft_limit / TRIP,
+        let trade = |c: &Category| {
+            let (repeat, in_order, soft) = (c.repeat, c.in_order, c.soft_limit.max(least));
+            Trade { repeat, in_order, soft, patience: c.patience }
         };
         let trades: Vec<Trade> = terms.categories.iter().map(trade).collect();
         let senders = terms.senders.max(1) as f64;
@@ -369,17 +354,24 @@
             kinds: terms.kinds,
             rates_listed: terms.rates_listed,
             by_halves: terms.late == Late::Halves,
-            cold_from: terms.back.cold_from,
-            cold: terms.back.cold.max(least),
-            fall_multiple: terms.back.fall_multiple,
+            back: terms.back,
         }
     }
 }
 
+struct Chance(ChaCha8Rng);
+
+impl Default for Chance {
+    fn default() -> Self {
+        Chance(ChaCha8Rng::seed_from_u64(0))
+    }
+}
+
 /// Decides for one sender.
+#[derive(Default)]
 pub struct Sender {
     figures: Figures,
-    rng: ChaCha8Rng,
+    rng: Chance,
     now: Duration,
     packets: BTreeMap<PacketId, Kept>,
     destinations: BTreeMap<DestinationId, Destination>,
@@ -399,23 +391,9 @@
 
 impl Sender {
     pub fn new(terms: Terms, seed: u64) -> Self {
-        Sender {
-            customers: terms.customers.iter().map(|_| Bucket::default()).collect(),
-            figures: Figures::new(terms),
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            now: Duration::ZERO,
-            packets: BTreeMap::new(),
-            destinations: BTreeMap::new(),
-            lanes: BTreeMap::new(),
-            endpoints: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            next_call: 0,
-            turns: BTreeMap::new(),
-            due: BTreeSet::new(),
-            spent: Vec::new(),
-            grown: BTreeSet::new(),
-            woken_at: None,
-        }
+        let customers = terms.customers.iter().map(|_| Bucket::default()).collect();
+        let rng = Chance(ChaCha8Rng::seed_from_u64(seed));
+        Sender { customers, rng, figures: Figures::new(terms), ..Sender::default() }
     }
 
     /// Whether anything is still owed or awaited for a packet.
@@ -424,7 +402,8 @@
     }
 
     /// News of the destination list. A whole list replaces the old one; what drains or is gone gets nothing
-    /// new from this moment on. What is gone and idle is forgotten, and the buckets that served only it.
+    /// new from this moment on. What is gone and idle is forgotten, but a
+    /// destination only after the time of warming: a wait or an outage may outlast its last endpoint.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
         self.now = now;
         if whole {
@@ -432,22 +411,34 @@
         }
         for line in lines {
             let kind = &self.figures.kinds[line.kind.0];
-            let (batch, cap) = (kind.batch.max(1), self.figures.slots);
-            let id = (line.destination, kind.own_limits.then_some(line.endpoint));
-            self.destinations.entry(line.destination).or_default().endpoints.insert(line.endpoint);
-            let lane = self.lanes.entry(id).or_default();
-            if self.figures.rates_listed && line.rate > 0.0 && lane.listed != Some(line.rate) {
-                (lane.listed, lane.rate, lane.top) = (Some(line.rate), Some(line.rate), line.rate);
+            let (cap, zone, live) = (self.figures.slots, line.zone, line.live);
+            let lane = (line.destination, kind.own_limits.then_some(line.endpoint));
+            let destination = self.destinations.entry(line.destination).or_default();
+            destination.batch = kind.batch;
+            destination.lanes.insert(lane);
+            let bucket = self.lanes.entry(lane).or_default();
+            if self.figures.rates_listed && line.rate > 0.0 && bucket.listed != Some(line.rate) {
+                (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(line.rate), line.rate);
             }
-            let (lane, zone, live) = (id, line.zone, line.live);
-            let new = Endpoint { lane, zone, batch, live, calls: 0, cap };
+            if destination.endpoints.is_empty() {
+                bucket.pace = None;
+                if bucket.health == Health::Quiet {
+                    bucket.health = Health::Well;
+                }
+            }
+            destination.endpoints.insert(line.endpoint);
+            let new = Endpoint { lane, zone, live, calls: 0, cap };
             self.endpoints.entry(line.endpoint).or_insert(new).live = live;
         }
         self.endpoints.retain(|_, e| e.live || e.calls > 0);
-        let endpoints = &self.endpoints;
-        self.lanes.retain(|id, _| endpoints.values().any(|e| e.lane == *id));
-        self.destinations.values_mut().for_each(|d| d.endpoints.retain(|e| endpoints.contains_key(e)));
-        self.destinations.retain(|_, d| !d.endpoints.is_empty() || !d.held.is_empty() || d.calls > 0);
+        for destination in self.destinations.values_mut() {
+            destination.endpoints.retain(|e| self.endpoints.contains_key(e));
+            destination.lanes.retain(|lane| lane.1.is_none_or(|e| self.endpoints.contains_key(&e)));
+        }
+        let kept =
+            |d: &Destination| now.saturating_sub(d.used) < self.figures.back.cold || !d.endpoints.is_empty();
+        self.destinations.retain(|_, d| kept(d) || !d.held.is_empty() || d.calls > 0);
+        self.lanes.retain(|id, _| self.destinations.get(&id.0).is_some_and(|d| d.lanes.contains(id)));
     }
 
     /// A packet is handed in. Its times count from when it was first handed in anywhere.
@@ -469,12 +460,10 @@
     /// Whether a customer hands in more than this sender's part of its quota; such packets carry little.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let quota = self.figures.quotas[customer.0];
-        let bucket = &mut self.customers[customer.0];
-        let over = bucket.read(self.now, quota, quota * self.figures.soft.as_secs_f64()) < 1.0;
-        if !over {
-            bucket.take();
-        }
-        over
+        let burst = quota * self.figures.soft.as_secs_f64();
+        let within = self.customers[customer.0].read(self.now, quota, burst) >= 1.0;
+        self.customers[customer.0].take(if within { 1.0 } else { 0.0 });
+        !within
     }
 
     /// The client took a packet back, or it is over.
@@ -572,6 +561,7 @@
         // An endpoint may appear within a soft limit; end_due looks again.
         let until =
             if destination.endpoints.is_empty() { last.min(self.now + kept.trade.soft) } else { last };
+        destination.used = self.now;
         destination.held.insert(id);
         self.due.insert((until, id));
         self.grown.insert(to);
@@ -584,7 +574,7 @@
             (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt.since + memory,
             _ => Duration::MAX,
         };
-        last.min(kept.packet.ends).saturating_sub(kept.trade.trip)
+        last.min(kept.packet.ends).saturating_sub(kept.trade.soft / TRIP)
     }
 
     fn come_back(&mut self, call_id: u64, id: PacketId, destination: DestinationId) {
@@ -652,7 +642,7 @@
             Repeat::Deduplicated { by_zone: true, .. } | Repeat::Unrepeatable => doubt.is_none(),
         };
         if harmless {
-            let wait = wait.unwrap_or_default().max(kept.trade.trip);
+            let wait = wait.unwrap_or_default().max(kept.trade.soft / TRIP);
             host.dismiss(id, self.figures.retry_after.map(|most| wait.min(most)));
             self.turn(id, State::Dismissed);
         } else {
@@ -670,7 +660,7 @@
             };
             let nothing_since = lane.answered.is_none_or(|answered| answered < call.sent);
             if nothing_since && self.now >= call.sent + lane.quiet_after(&self.figures) {
-                lane.health = Health::Quiet(self.now);
+                lane.health = Health::Quiet;
             }
         }
     }
@@ -679,12 +669,9 @@
     fn dismiss_hopeless(&mut self, host: &mut impl Host) {
         for id in std::mem::take(&mut self.grown) {
             let Some(destination) = self.destinations.get(&id) else { continue };
-            let mut rates: BTreeMap<LaneId, f64> = BTreeMap::new();
-            for endpoint in destination.endpoints.iter().filter_map(|e| self.endpoints.get(e)) {
-                let rate = self.lanes.get(&endpoint.lane).and_then(|l| l.rate.map(|rate| rate.max(l.top)));
-                rates.insert(endpoint.lane, rate.unwrap_or(f64::INFINITY) * endpoint.batch as f64);
-            }
-            let rate: f64 = rates.values().sum();
+            let rate = |lane: &Lane| lane.rate.map_or(f64::INFINITY, |rate| rate.max(lane.top));
+            let rate: f64 = destination.lanes.iter().map(|lane| rate(&self.lanes[lane])).sum();
+            let rate = rate * destination.batch.max(1) as f64;
             if rate == 0.0 || rate.is_infinite() {
                 continue;
             }
@@ -743,9 +730,8 @@
     }
 
     fn well_waits(&self) -> bool {
-        let well = |e| self.endpoints.get(e).is_some_and(|e| self.lanes[&e.lane].health == Health::Well);
         let mut waiting = self.destinations.values().filter(|d| !d.held.is_empty() && d.calls < self.cap(d));
-        waiting.any(|d| d.endpoints.iter().any(well))
+        waiting.any(|d| d.lanes.iter().any(|lane| self.lanes[lane].health == Health::Well))
     }
 
     /// Past its bucket a packet takes any free slot; while there are fewer slots than takers, the next goes
@@ -784,10 +770,9 @@
 
     /// The cap: three quarters of the slots, half while failing or slow.
     fn cap(&self, destination: &Destination) -> usize {
-        let slow = |lane: &Lane| lane.expected(&self.figures) > self.figures.soft;
-        let mut lanes =
-            destination.endpoints.iter().filter_map(|e| self.lanes.get(&self.endpoints.get(e)?.lane));
-        let ill = lanes.any(|lane| lane.health != Health::Well || slow(lane));
+        let ill =
+            |lane: &Lane| lane.health != Health::Well || lane.expected(&self.figures) > self.figures.soft;
+        let ill = destination.lanes.iter().any(|lane| ill(&self.lanes[lane]));
         let cap = if ill { self.figures.slots / 2 } else { self.figures.slots * 3 / 4 };
         cap.max(1)
     }
@@ -798,7 +783,8 @@
             return false;
         }
         let Some(endpoint_id) = self.draw(id) else { return false };
-        let Endpoint { lane, zone, batch, .. } = self.endpoints[&endpoint_id];
+        let Endpoint { lane, zone, .. } = self.endpoints[&endpoint_id];
+        let batch = self.destinations[&id].batch.max(1);
         let may_go = self.destinations[&id].held.iter().filter(|packet| self.may_go(**packet, zone));
         let mut ranked: Vec<_> =
             may_go.map(|packet| (self.rank(*packet, &self.lanes[&lane]), *packet)).collect();
@@ -810,7 +796,7 @@
         self.next_call += 1;
         let new = Call { endpoint: endpoint_id, lane, sent, packets: vec![], judged: false, given_up: false };
         self.calls.insert(call, new);
-        self.lanes.entry(lane).or_default().bucket.take();
+        self.lanes.entry(lane).or_default().bucket.take(1.0);
         self.destinations.entry(id).or_default().calls += 1;
         if let Some(endpoint) = self.endpoints.get_mut(&endpoint_id) {
             endpoint.calls += 1;
@@ -840,7 +826,7 @@
     }
 
     /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
-    /// have, which its cap on calls in flight tells. Lanes in silence together hold half of the slots at most, and each has its bucket and its number of calls out since its trouble began.
+    /// have, which its cap on calls in flight tells. Lanes in silence together hold half of the slots at most, and each its bucket.
     fn draw(&mut self, id: DestinationId) -> Option<EndpointId> {
         let trials =
             self.calls.values().filter(|c| self.lanes.get(&c.lane).is_some_and(|l| l.health.silent()));
@@ -851,15 +837,13 @@
             let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
             let Some(lane) = self.lanes.get_mut(&endpoint.lane) else { continue };
             let free = endpoint.cap.saturating_sub(endpoint.calls);
-            let out = |since| self.calls.values().filter(|c| c.sent >= since && c.endpoint == *id).count();
-            let in_trouble = lane.most_out().is_some_and(|(since, most)| out(since) >= most);
             let no_trial = lane.health.silent() && trials_left == 0;
             let shut = !endpoint.live || free == 0 || !lane.opens_in(now, figures).is_zero();
-            if !shut && !in_trouble && !no_trial {
+            if !shut && !no_trial {
                 odds.push((free as f64, *id));
             }
         }
-        let mut drawn = self.rng.random::<f64>() * odds.iter().map(|(odds, _)| odds).sum::<f64>();
+        let mut drawn = self.rng.0.random::<f64>() * odds.iter().map(|(odds, _)| odds).sum::<f64>();
         let hit = odds.iter().find(|(odds, _)| {
             drawn -= odds;
             drawn < 0.0
@@ -902,8 +886,8 @@
             }
         };
         for destination in self.destinations.values().filter(|d| !d.held.is_empty()) {
-            for endpoint in destination.endpoints.iter().filter_map(|e| self.endpoints.get(e)) {
-                if let Some(lane) = self.lanes.get_mut(&endpoint.lane) {
+            for lane in &destination.lanes {
+                if let Some(lane) = self.lanes.get_mut(lane) {
                     sooner(now.saturating_add(lane.opens_in(now, figures)));
                 }
             }
--- a/src/host.rs
+++ b/src/host.rs
@@ -77,7 +77,7 @@
 }
 
 /// How much a destination that comes back can take.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Return {
     /// Share of its capacity that it starts with.
     pub cold_from: f64,
