--- a/crates/sailcart-drill/src/env.rs
+++ b/crates/sailcart-drill/src/env.rs
@@ -13,7 +13,6 @@
     pub categories: HashMap<String, usize>,
     pub customers: HashMap<String, usize>,
     pub kinds: HashMap<String, usize>,
-    pub zones: HashMap<String, usize>,
 }
 
 pub fn read(env: &Value) -> Result<(Terms, Names), Fault> {
@@ -29,7 +28,6 @@
     let names = Names {
         categories: positions(named(lanes)?),
         customers: positions(named(customers)?),
-        zones: positions(texts(list(env, "areas")?, "areas")?),
         kinds: positions(kinds.clone()),
     };
     let retry_after = match truth(bounds, "retry_after")? {
@@ -76,10 +74,11 @@
 fn category(lane: &Value) -> Result<Category, Fault> {
     let repeat = match text(lane, "repeat")? {
         "retryable" => Repeat::Idempotent,
-        "dedup" => Repeat::Deduplicated {
-            memory: ms(lane, "dedup_window_ms")?,
-            by_zone: text(lane, "group")? != "all",
-        },
+        "dedup" if text(lane, "group")? == "all" => {
+            Repeat::Deduplicated { memory: ms(lane, "dedup_window_ms")? }
+        }
+        // The interface knows no memory of only some endpoints.
+        "dedup" => Repeat::Unrepeatable,
         "fragile" => Repeat::Unrepeatable,
         other => return Err(format!("expected a known repeat, not {other}").into()),
     };
--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -5,7 +5,7 @@
 
 use sailcart::{
     CategoryId, CustomerId, DestinationId, EndpointId, Host, KeyId, KindId, Listing, Outcome, Packet,
-    PacketId, Sender, ZoneId,
+    PacketId, Sender,
 };
 use serde_json::{Value, json};
 
@@ -15,7 +15,6 @@
 /// A line of a list, as the wire has it.
 pub struct Entry {
     endpoint: String,
-    zone: String,
     kind: String,
     destination: u64,
     live: bool,
@@ -25,6 +24,7 @@
 impl Entry {
     pub fn read(entry: &Value) -> Result<Self, Fault> {
         let row = Row::plain(entry, "rows_in")?;
+        row.text(1, "rack_zone")?;
         let live = match row.text(4, "state")? {
             "live" => true,
             "quiescing" | "dead" => false,
@@ -32,7 +32,6 @@
         };
         Ok(Entry {
             endpoint: row.text(0, "endpoint")?.to_owned(),
-            zone: row.text(1, "rack_zone")?.to_owned(),
             kind: row.text(2, "type")?.to_owned(),
             destination: row.whole(3, "cell")?,
             live,
@@ -108,7 +107,6 @@
                 endpoint: self.book.endpoint(&entry.endpoint),
                 destination: DestinationId(entry.destination),
                 kind: KindId(known(&self.names.kinds, &entry.kind, "type")?),
-                zone: ZoneId(u32::try_from(known(&self.names.zones, &entry.zone, "rack_zone")?).unwrap_or(0)),
                 live: entry.live,
                 rate: entry.heft,
             });
--- a/src/control.rs
+++ b/src/control.rs
@@ -78,15 +78,18 @@
 }
 
 impl Bucket {
-    fn read(&mut self, now: Duration, rate: f64, burst: f64) -> f64 {
+    fn read(&self, now: Duration, rate: f64, burst: f64) -> f64 {
         let (burst, accrued) = (burst.max(1.0), now.saturating_sub(self.at).as_secs_f64() * rate);
-        let tokens = self.tokens.map_or(burst, |tokens| (tokens + accrued).min(burst));
-        (self.tokens, self.at) = (Some(tokens), now);
-        tokens
+        self.tokens.map_or(burst, |tokens| (tokens + accrued).min(burst))
     }
 
-    fn take(&mut self, spent: f64) {
-        self.tokens = self.tokens.map(|tokens| tokens - spent);
+    /// Takes a token if there is one.
+    fn take(&mut self, now: Duration, rate: f64, burst: f64) -> bool {
+        let tokens = self.read(now, rate, burst);
+        if tokens >= 1.0 {
+            (self.tokens, self.at) = (Some(tokens - 1.0), now);
+        }
+        tokens >= 1.0
     }
 }
 
@@ -149,16 +152,25 @@
         (GUARD * back.fall_multiple * present * part).max(FLOOR / figures.senders)
     }
 
-    /// How long until the bucket has a token and no wait stands; zero if a call may go now.
-    fn opens_in(&mut self, now: Duration, figures: &Figures) -> Duration {
-        let blocked = self.blocked.saturating_sub(now);
+    /// Rate and burst that bind now, if any do.
+    fn limit(&self, now: Duration, figures: &Figures) -> Option<(f64, f64)> {
         let guard = self.guard(now, figures);
         let rate = self.rate.unwrap_or(f64::INFINITY).min(guard);
-        if rate.is_infinite() {
-            return blocked;
-        }
         let burst = if guard.is_finite() { 1.0 } else { rate * BURST };
-        blocked.max(span_of(1.0 - self.bucket.read(now, rate, burst), rate))
+        rate.is_finite().then_some((rate, burst))
+    }
+
+    /// How long until the bucket has a token and no wait stands; zero if a call may go now.
+    fn opens_in(&self, now: Duration, figures: &Figures) -> Duration {
+        let deficit = |(rate, burst)| span_of(1.0 - self.bucket.read(now, rate, burst), rate);
+        self.limit(now, figures).map_or(Duration::ZERO, deficit).max(self.blocked.saturating_sub(now))
+    }
+
+    /// A dispatch spends the token.
+    fn spend(&mut self, now: Duration, figures: &Figures) {
+        if let Some((rate, burst)) = self.limit(now, figures) {
+            self.bucket.take(now, rate, burst);
+        }
     }
 
     fn expected(&self, figures: &Figures) -> Duration {
@@ -224,7 +236,7 @@
             }
             self.rate = Some(self.rate.map_or(served, |rate| rate * CUT).max(FLOOR));
             self.cut_at = Some(now);
-            self.bucket.tokens = self.bucket.tokens.or(Some(0.0)).map(|tokens| tokens.min(0.0));
+            self.bucket = Bucket { tokens: Some(0.0), at: now };
         }
         self.note_loss(now, 0.5, false, figures);
     }
@@ -232,9 +244,7 @@
 
 struct Endpoint {
     lane: LaneId,
-    zone: ZoneId,
     live: bool,
-    calls: usize,
     /// Calls that it may have in flight.
     cap: usize,
 }
@@ -245,7 +255,6 @@
     lanes: BTreeSet<LaneId>,
     batch: usize,
     held: BTreeSet<PacketId>,
-    calls: usize,
     used: Duration,
 }
 
@@ -262,22 +271,15 @@
     given_up: bool,
 }
 
-/// The first dispatch that may have run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Doubt {
-    since: Duration,
-    zone: ZoneId,
-}
-
-/// Where a packet stands. A doubt says that an earlier dispatch may have run.
+/// Where a packet stands. `Held` and `Out` say when the first dispatch that may have run was sent, if any.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
-    Held(Option<Doubt>),
-    Out(u64, Option<Doubt>),
+    Held(Option<Duration>),
+    Out(u64, Option<Duration>),
     /// Its client took it back while a dispatch is out; nothing more is owed.
     Withdrawn(u64),
     /// It may not be dispatched again and is owed its final answer this round.
-    Spent(Option<Doubt>),
+    Spent(Option<Duration>),
     Done,
     Dismissed,
     Scrapped,
@@ -286,9 +288,8 @@
 struct Kept {
     packet: Packet,
     trade: Trade,
-    /// When its answer is wanted, and when it goes behind those that are not late.
+    /// When its answer is wanted.
     soft: Duration,
-    late_at: Duration,
     dispatches: u32,
     over_share: bool,
     state: State,
@@ -334,9 +335,11 @@
 impl Figures {
     fn new(terms: Terms) -> Self {
         let least = Duration::from_millis(1);
-        let trade = |c: &Category| {
-            let (repeat, in_order, soft) = (c.repeat, c.in_order, c.soft_limit.max(least));
-            Trade { repeat, in_order, soft, patience: c.patience }
+        let trade = |c: &Category| Trade {
+            repeat: c.repeat,
+            in_order: c.in_order,
+            soft: c.soft_limit.max(least),
+            patience: c.patience,
         };
         let trades: Vec<Trade> = terms.categories.iter().map(trade).collect();
         let senders = terms.senders.max(1) as f64;
@@ -411,7 +414,7 @@
         }
         for line in lines {
             let kind = &self.figures.kinds[line.kind.0];
-            let (cap, zone, live) = (self.figures.slots, line.zone, line.live);
+            let (cap, live) = (self.figures.slots, line.live);
             let lane = (line.destination, kind.own_limits.then_some(line.endpoint));
             let destination = self.destinations.entry(line.destination).or_default();
             destination.batch = kind.batch;
@@ -427,17 +430,18 @@
                 }
             }
             destination.endpoints.insert(line.endpoint);
-            let new = Endpoint { lane, zone, live, calls: 0, cap };
+            let new = Endpoint { lane, live, cap };
             self.endpoints.entry(line.endpoint).or_insert(new).live = live;
         }
-        self.endpoints.retain(|_, e| e.live || e.calls > 0);
+        let calls = &self.calls;
+        self.endpoints.retain(|id, e| e.live || calls.values().any(|call| call.endpoint == *id));
         for destination in self.destinations.values_mut() {
             destination.endpoints.retain(|e| self.endpoints.contains_key(e));
             destination.lanes.retain(|lane| lane.1.is_none_or(|e| self.endpoints.contains_key(&e)));
         }
         let kept =
             |d: &Destination| now.saturating_sub(d.used) < self.figures.back.cold || !d.endpoints.is_empty();
-        self.destinations.retain(|_, d| kept(d) || !d.held.is_empty() || d.calls > 0);
+        self.destinations.retain(|_, d| kept(d) || !d.held.is_empty());
         self.lanes.retain(|id, _| self.destinations.get(&id.0).is_some_and(|d| d.lanes.contains(id)));
     }
 
@@ -446,24 +450,19 @@
         self.now = now;
         let trade = self.figures.trades[packet.category.0];
         let soft = packet.ends.saturating_sub(trade.patience.saturating_sub(trade.soft));
-        // Where credit falls evenly, a late packet loses with every second while others lose nothing yet.
-        let late_at = if self.figures.by_halves { soft } else { packet.ends };
         if let (true, Some(key)) = (trade.in_order, packet.key) {
             self.turns.entry(key).or_default().queue.push_back(packet.id);
         }
         let over_share = packet.customer.is_some_and(|customer| self.over_share(customer));
         let (id, state) = (packet.id, State::Held(None));
-        self.packets.insert(id, Kept { packet, trade, soft, late_at, dispatches: 0, over_share, state });
+        self.packets.insert(id, Kept { packet, trade, soft, dispatches: 0, over_share, state });
         self.enter_held(id);
     }
 
     /// Whether a customer hands in more than this sender's part of its quota; such packets carry little.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let quota = self.figures.quotas[customer.0];
-        let burst = quota * self.figures.soft.as_secs_f64();
-        let within = self.customers[customer.0].read(self.now, quota, burst) >= 1.0;
-        self.customers[customer.0].take(if within { 1.0 } else { 0.0 });
-        !within
+        !self.customers[customer.0].take(self.now, quota, quota * self.figures.soft.as_secs_f64())
     }
 
     /// The client took a packet back, or it is over.
@@ -483,7 +482,7 @@
         let (state, key, repeat) = (kept.state, kept.packet.key, kept.trade.repeat);
         let may_go = outcome != Outcome::Moot && kept.dispatches < self.figures.dispatches;
         let (State::Out(call, _) | State::Withdrawn(call)) = state else { return };
-        let (since, zone) = self.judge(call, elapsed, outcome);
+        let since = self.judge(call, elapsed, outcome);
         let may_still_run = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if let (true, Some(turn)) = (may_still_run, key.and_then(|key| self.turns.get_mut(&key))) {
             turn.rests_until = now + self.figures.settle;
@@ -492,24 +491,23 @@
             return self.turn(id, State::Done);
         };
         let may_have_run = may_still_run || outcome == Outcome::Error;
-        let doubt = doubt.or(may_have_run.then_some(Doubt { since, zone }));
+        let doubt = doubt.or(may_have_run.then_some(since));
         let unsure = doubt.is_some() && repeat == Repeat::Unrepeatable;
         self.turn(id, if may_go && !unsure { State::Held(doubt) } else { State::Spent(doubt) });
     }
 
-    /// Learns from a call, once for all its packets. Tells when and to which zone it was sent.
-    fn judge(&mut self, call: u64, elapsed: Duration, outcome: Outcome) -> (Duration, ZoneId) {
+    /// Learns from a call, once for all its packets. Tells when it was sent.
+    fn judge(&mut self, call: u64, elapsed: Duration, outcome: Outcome) -> Duration {
         let (now, figures) = (self.now, &self.figures);
-        let Some(call) = self.calls.get_mut(&call) else { return (now, ZoneId(0)) };
-        let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return (call.sent, ZoneId(0)) };
-        let told = (call.sent, endpoint.zone);
-        let Some(lane) = self.lanes.get_mut(&call.lane) else { return told };
+        let Some(call) = self.calls.get_mut(&call) else { return now };
+        let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return call.sent };
+        let Some(lane) = self.lanes.get_mut(&call.lane) else { return call.sent };
         // Each outcome of a call may come in a round of its own and tells its wait anew: the longest stands.
         if let Outcome::Full(Some(wait)) = outcome {
             lane.blocked = lane.blocked.max(now + wait);
         }
         if std::mem::replace(&mut call.judged, true) {
-            return told;
+            return call.sent;
         }
         match outcome {
             Outcome::Done => {
@@ -525,7 +523,7 @@
                 lane.note_loss(now, 1.0, silent, figures);
             }
         }
-        told
+        call.sent
     }
 
     /// Every change of a packet's state: what it leaves is released, what it enters is booked.
@@ -538,16 +536,17 @@
             (State::Held(_), _) => {
                 self.destinations.entry(destination).or_default().held.remove(&id);
             }
-            (State::Out(call, _) | State::Withdrawn(call), _) => self.come_back(call, id, destination),
+            (State::Out(call, _) | State::Withdrawn(call), _) => {
+                self.calls.entry(call).and_modify(|call| call.packets.retain(|other| *other != id));
+                self.calls.retain(|_, call| !call.packets.is_empty());
+            }
             _ => {}
         }
         match to {
             State::Held(_) => self.enter_held(id),
             State::Spent(_) => self.spent.push(id),
             State::Out(call, _) => {
-                if let Some(call) = self.calls.get_mut(&call) {
-                    call.packets.push(id);
-                }
+                self.calls.entry(call).and_modify(|call| call.packets.push(id));
             }
             State::Withdrawn(_) => {}
             State::Done | State::Dismissed | State::Scrapped => self.leave(id),
@@ -571,33 +570,16 @@
     /// may have run by the destination's memory.
     fn holdable_until(&self, kept: &Kept) -> Duration {
         let last = match (kept.state, kept.trade.repeat) {
-            (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt.since + memory,
+            (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt + memory,
             _ => Duration::MAX,
         };
         last.min(kept.packet.ends).saturating_sub(kept.trade.soft / TRIP)
     }
 
-    fn come_back(&mut self, call_id: u64, id: PacketId, destination: DestinationId) {
-        let Some(call) = self.calls.get_mut(&call_id) else { return };
-        call.packets.retain(|other| *other != id);
-        if !call.packets.is_empty() {
-            return;
-        }
-        if let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) {
-            endpoint.calls -= 1;
-        }
-        if let Some(destination) = self.destinations.get_mut(&destination) {
-            destination.calls -= 1;
-        }
-        self.calls.remove(&call_id);
-    }
-
     fn leave(&mut self, id: PacketId) {
-        let key = self.packets.remove(&id).and_then(|kept| kept.packet.key);
-        let Some((key, turn)) = key.and_then(|key| Some((key, self.turns.get_mut(&key)?))) else { return };
-        turn.queue.retain(|other| *other != id);
-        if turn.queue.is_empty() && turn.rests_until <= self.now {
-            self.turns.remove(&key);
+        if let Some(key) = self.packets.remove(&id).and_then(|kept| kept.packet.key) {
+            self.turns.entry(key).and_modify(|turn| turn.queue.retain(|other| *other != id));
+            self.turns.retain(|_, turn| !turn.queue.is_empty() || turn.rests_until > self.now);
         }
     }
 
@@ -637,10 +619,7 @@
     fn end(&mut self, id: PacketId, wait: Option<Duration>, host: &mut impl Host) {
         let Some(kept) = self.packets.get(&id) else { return };
         let (State::Held(doubt) | State::Spent(doubt)) = kept.state else { return };
-        let harmless = match kept.trade.repeat {
-            Repeat::Idempotent | Repeat::Deduplicated { by_zone: false, .. } => true,
-            Repeat::Deduplicated { by_zone: true, .. } | Repeat::Unrepeatable => doubt.is_none(),
-        };
+        let harmless = doubt.is_none() || kept.trade.repeat != Repeat::Unrepeatable;
         if harmless {
             let wait = wait.unwrap_or_default().max(kept.trade.soft / TRIP);
             host.dismiss(id, self.figures.retry_after.map(|most| wait.min(most)));
@@ -655,11 +634,9 @@
     /// one new call at a time. Harm: a lane with one very slow call and no other idles until that answers.
     fn watch_silence(&mut self) {
         for call in self.calls.values() {
-            let Some(lane) = self.lanes.get_mut(&call.lane).filter(|l| l.health == Health::Well) else {
-                continue;
-            };
-            let nothing_since = lane.answered.is_none_or(|answered| answered < call.sent);
-            if nothing_since && self.now >= call.sent + lane.quiet_after(&self.figures) {
+            let Some(lane) = self.lanes.get_mut(&call.lane) else { continue };
+            let silent = self.now >= call.sent + lane.quiet_after(&self.figures);
+            if silent && lane.health == Health::Well && lane.answered.is_none_or(|at| at < call.sent) {
                 lane.health = Health::Quiet;
             }
         }
@@ -672,7 +649,7 @@
             let rate = |lane: &Lane| lane.rate.map_or(f64::INFINITY, |rate| rate.max(lane.top));
             let rate: f64 = destination.lanes.iter().map(|lane| rate(&self.lanes[lane])).sum();
             let rate = rate * destination.batch.max(1) as f64;
-            if rate == 0.0 || rate.is_infinite() {
+            if !rate.is_normal() {
                 continue;
             }
             let mut line: Vec<_> =
@@ -710,18 +687,16 @@
         }
         let mut silent: Vec<(bool, Duration, u64)> = Vec::new();
         for (id, call) in &self.calls {
-            let Some(lane) = self.lanes.get(&call.lane).filter(|l| l.health != Health::Well) else {
-                continue;
-            };
-            if self.now >= call.sent + lane.quiet_after(&self.figures) {
+            let lane = &self.lanes[&call.lane];
+            if lane.health != Health::Well && self.now >= call.sent + lane.quiet_after(&self.figures) {
                 let last = call.packets.iter().any(|p| self.packets[p].trade.repeat == Repeat::Unrepeatable);
                 silent.push((last, call.sent, *id));
             }
         }
         silent.sort();
         for (_, _, id) in silent.iter().take(silent.len().saturating_sub(self.figures.slots / 4)) {
-            let Some(call) = self.calls.get_mut(id) else { continue };
-            if !std::mem::replace(&mut call.given_up, true) {
+            if let Some(call) = self.calls.get_mut(id).filter(|call| !call.given_up) {
+                call.given_up = true;
                 for packet in &call.packets {
                     host.cancel(*packet, self.packets[packet].dispatches - 1);
                 }
@@ -730,8 +705,9 @@
     }
 
     fn well_waits(&self) -> bool {
-        let mut waiting = self.destinations.values().filter(|d| !d.held.is_empty() && d.calls < self.cap(d));
-        waiting.any(|d| d.lanes.iter().any(|lane| self.lanes[lane].health == Health::Well))
+        let mut waiting =
+            self.destinations.iter().filter(|(id, d)| !d.held.is_empty() && self.out(id) < self.cap(d));
+        waiting.any(|(_, d)| d.lanes.iter().any(|lane| self.lanes[lane].health == Health::Well))
     }
 
     /// Past its bucket a packet takes any free slot; while there are fewer slots than takers, the next goes
@@ -744,7 +720,7 @@
         }
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
-            let below = |id: &DestinationId| shares[id] - self.destinations[id].calls as f64;
+            let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
             let next = (0..ready.len()).max_by(|a, b| below(&ready[*a]).total_cmp(&below(&ready[*b])));
             let Some(next) = next else { return };
             if !self.dispatch_one(ready[next], host) {
@@ -755,8 +731,8 @@
 
     /// Max-min shares of the slots by demand: calls in flight and packets held, up to the cap.
     fn shares(&self) -> BTreeMap<DestinationId, f64> {
-        let demand = |d: &Destination| (d.calls + d.held.len()).min(self.cap(d)) as f64;
-        let mut demands: Vec<_> = self.destinations.iter().map(|(id, d)| (demand(d), *id)).collect();
+        let demand = |id, d: &Destination| (self.out(id) + d.held.len()).min(self.cap(d)) as f64;
+        let mut demands: Vec<_> = self.destinations.iter().map(|(id, d)| (demand(id, d), *id)).collect();
         demands.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let (mut left, mut takers) = (self.figures.slots as f64, demands.len() as f64);
         let mut shares = BTreeMap::new();
@@ -768,6 +744,11 @@
         shares
     }
 
+    /// A destination's calls in flight.
+    fn out(&self, id: &DestinationId) -> usize {
+        self.calls.values().filter(|call| call.lane.0 == *id).count()
+    }
+
     /// The cap: three quarters of the slots, half while failing or slow.
     fn cap(&self, destination: &Destination) -> usize {
         let ill =
@@ -779,13 +760,13 @@
 
     /// One call to a destination, filled up to its batch. False if none can go now.
     fn dispatch_one(&mut self, id: DestinationId, host: &mut impl Host) -> bool {
-        if self.destinations[&id].calls >= self.cap(&self.destinations[&id]) {
+        if self.out(&id) >= self.cap(&self.destinations[&id]) {
             return false;
         }
         let Some(endpoint_id) = self.draw(id) else { return false };
-        let Endpoint { lane, zone, .. } = self.endpoints[&endpoint_id];
+        let lane = self.endpoints[&endpoint_id].lane;
         let batch = self.destinations[&id].batch.max(1);
-        let may_go = self.destinations[&id].held.iter().filter(|packet| self.may_go(**packet, zone));
+        let may_go = self.destinations[&id].held.iter().filter(|packet| self.may_go(**packet));
         let mut ranked: Vec<_> =
             may_go.map(|packet| (self.rank(*packet, &self.lanes[&lane]), *packet)).collect();
         if ranked.is_empty() {
@@ -796,11 +777,7 @@
         self.next_call += 1;
         let new = Call { endpoint: endpoint_id, lane, sent, packets: vec![], judged: false, given_up: false };
         self.calls.insert(call, new);
-        self.lanes.entry(lane).or_default().bucket.take(1.0);
-        self.destinations.entry(id).or_default().calls += 1;
-        if let Some(endpoint) = self.endpoints.get_mut(&endpoint_id) {
-            endpoint.calls += 1;
-        }
+        self.lanes.entry(lane).or_default().spend(self.now, &self.figures);
         for (_, packet) in ranked.into_iter().take(batch) {
             let time_out = self.time_out(packet, lane);
             let Some(kept) = self.packets.get_mut(&packet) else { continue };
@@ -834,9 +811,10 @@
         let (now, figures) = (self.now, &self.figures);
         let mut odds: Vec<(f64, EndpointId)> = Vec::new();
         for id in &self.destinations[&id].endpoints {
-            let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
-            let Some(lane) = self.lanes.get_mut(&endpoint.lane) else { continue };
-            let free = endpoint.cap.saturating_sub(endpoint.calls);
+            let Some(endpoint) = self.endpoints.get(id) else { continue };
+            let lane = &self.lanes[&endpoint.lane];
+            let out = self.calls.values().filter(|call| call.endpoint == *id).count();
+            let free = endpoint.cap.saturating_sub(out);
             let no_trial = lane.health.silent() && trials_left == 0;
             let shut = !endpoint.live || free == 0 || !lane.opens_in(now, figures).is_zero();
             if !shut && !no_trial {
@@ -851,15 +829,11 @@
         hit.or(odds.last()).map(|(_, id)| *id)
     }
 
-    /// Whether it is a held packet's turn, and its doubt allows this zone.
-    fn may_go(&self, id: PacketId, zone: ZoneId) -> bool {
+    /// Whether it is a held packet's turn.
+    fn may_go(&self, id: PacketId) -> bool {
         let kept = &self.packets[&id];
-        let zone_fits = match (kept.state, kept.trade.repeat) {
-            (State::Held(Some(doubt)), Repeat::Deduplicated { by_zone: true, .. }) => doubt.zone == zone,
-            _ => true,
-        };
         let turn = kept.packet.key.filter(|_| kept.trade.in_order).and_then(|key| self.turns.get(&key));
-        zone_fits && turn.is_none_or(|t| t.queue.front() == Some(&id) && t.rests_until <= self.now)
+        turn.is_none_or(|t| t.queue.front() == Some(&id) && t.rests_until <= self.now)
     }
 
     /// Which held packet goes first. A lane in silence is tried with what may be repeated. Otherwise those
@@ -872,32 +846,24 @@
             Repeat::Unrepeatable => 2,
         };
         let (risk, tried) = if lane.health.silent() { (risk, kept.dispatches) } else { (0, 0) };
-        let late = kept.late_at < self.now + lane.expected(&self.figures);
+        // Where credit falls evenly, a late packet loses with every second while others lose nothing yet.
+        let late = self.figures.by_halves && kept.soft < self.now + lane.expected(&self.figures);
         (risk, tried, kept.over_share, late, if late { kept.packet.ends } else { kept.soft })
     }
 
     /// One timer for the earliest thing that can come due without an event.
     fn set_wake(&mut self, host: &mut impl Host) {
         let (now, figures) = (self.now, &self.figures);
-        let mut next = self.due.first().map_or(Duration::MAX, |(at, _)| *at);
-        let mut sooner = |at: Duration| {
-            if at > now {
-                next = next.min(at);
-            }
-        };
-        for destination in self.destinations.values().filter(|d| !d.held.is_empty()) {
-            for lane in &destination.lanes {
-                if let Some(lane) = self.lanes.get_mut(lane) {
-                    sooner(now.saturating_add(lane.opens_in(now, figures)));
-                }
-            }
-        }
-        self.turns.values().filter(|turn| !turn.queue.is_empty()).for_each(|turn| sooner(turn.rests_until));
-        for call in self.calls.values() {
-            if let Some(lane) = self.lanes.get(&call.lane) {
-                sooner(call.sent + lane.quiet_after(figures));
-            }
-        }
+        let held = self.destinations.values().filter(|d| !d.held.is_empty());
+        let lanes = held
+            .flat_map(|d| &d.lanes)
+            .map(|lane| now.saturating_add(self.lanes[lane].opens_in(now, figures)));
+        let rests = self.turns.values().filter(|turn| !turn.queue.is_empty()).map(|turn| turn.rests_until);
+        let silences =
+            self.calls.values().map(|call| call.sent + self.lanes[&call.lane].quiet_after(figures));
+        let due = self.due.first().map(|(at, _)| *at);
+        let next = lanes.chain(rests).chain(silences).chain(due).filter(|at| *at > now).min();
+        let next = next.unwrap_or(Duration::MAX);
         if next < Duration::MAX && self.woken_at.is_none_or(|at| at <= now || next < at) {
             self.woken_at = Some(next);
             host.wake((next - now).max(Duration::from_micros(1)));
--- a/src/host.rs
+++ b/src/host.rs
@@ -23,7 +23,6 @@
     CustomerId(usize);
     /// Position in [`Terms::kinds`].
     KindId(usize);
-    ZoneId(u32);
     /// What packets of a category in order are about.
     KeyId(u64);
 }
@@ -32,10 +31,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Repeat {
     Idempotent,
-    /// The destination knows a repeat for `memory`; only in the zone of the first dispatch if `by_zone`.
+    /// Every endpoint of the destination knows a repeat for `memory`.
     Deduplicated {
         memory: Duration,
-        by_zone: bool,
     },
     Unrepeatable,
 }
@@ -119,7 +117,6 @@
     pub endpoint: EndpointId,
     pub destination: DestinationId,
     pub kind: KindId,
-    pub zone: ZoneId,
     /// False once it drains or is gone.
     pub live: bool,
     /// Calls a second from all senders, where [`Terms::rates_listed`].
