--- a/src/control.rs
+++ b/src/control.rs
@@ -15,33 +15,22 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use rand::{Rng, SeedableRng};
+use rand::{SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
 use crate::host::*;
 
-/// A lane's rate never falls below one call in two seconds.
-const FLOOR: f64 = 0.5;
-/// A full refusal leaves this share of the rate.
-const CUT: f64 = 0.5;
-/// Each success gives back this share of the listed or last known rate.
-const LIFT: f64 = 1.0 / 16.0;
-/// And this many calls a second at least where none is listed: a lane refused early must find its rate.
-const STEP: f64 = FLOOR / 2.0;
-/// A bucket holds this long a stretch of its rate; a whole second overran limits that all senders share.
-const BURST: f64 = 0.25;
-/// Of what the return rule allows, the part that is used: chance and other senders need the rest.
-const GUARD: f64 = 0.9;
-/// A call that is out this many times the usual answer time, while nothing else answers, is a silence.
-const SILENCE: f64 = 6.0;
-/// A dispatch is given up after this many times the usual answer time.
-const WAITED: f64 = 8.0;
-/// Losses in a row that make an outage; a full refusal counts half, as it is more often a limit.
-const LOSSES: f64 = 2.0;
-/// Part of the soft limit that is left for the trip: no dispatch starts this close to a packet's end.
-const TRIP: u32 = 8;
-/// One part in so many of the hold is kept free.
-const SPARE: usize = 16;
+const FLOOR: f64 = 0.5; // a lane's rate never falls below one call in two seconds
+const CUT: f64 = 0.5; // a full refusal leaves this share of the rate
+const LIFT: f64 = 1.0 / 16.0; // each success gives back this share of the listed or last known rate
+const STEP: f64 = FLOOR / 2.0; // and where no rate is listed this many calls a second at least
+const BURST: f64 = 0.25; // seconds of r; a whole second overran limits that all senders share
+const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
+const SILENCE: f64 = 6.0; // times the usual answer time, with nothing else answering
+const WAITED: f64 = 8.0; // a dispatch is given up after this many times the usual answer time
+const LOSSES: f64 = 2.0; // in a row make an outage; a full refusal counts half, being mostly a limit
+const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
+const SPARE: usize = 16; // one part in so many of the hold is kept free
 
 fn times(span: Duration, by: f64) -> Duration {
     Duration::try_from_secs_f64(span.as_secs_f64() * by).unwrap_or(Duration::MAX)
@@ -97,12 +86,9 @@
 enum Health {
     #[default]
     Well,
-    /// Calls stay out and nothing answers; no outage yet.
-    Quiet,
-    /// An outage was seen.
-    Sick,
-    /// It answered after an outage and may be cold since then.
-    Back(Duration),
+    Quiet,          // calls stay out and nothing answers; no outage yet
+    Sick,           // an outage was seen
+    Back(Duration), // it answered after an outage and may be cold since then
 }
 
 impl Health {
@@ -116,24 +102,18 @@
 #[derive(Default)]
 struct Lane {
     listed: Option<f64>,
-    /// `None` until the first full refusal, where no rate is listed.
-    rate: Option<f64>,
-    /// What the rate climbs back to: listed, or last known.
-    top: f64,
+    rate: Option<f64>, // `None` until the first full refusal, where no rate is listed
+    top: f64,          // what the rate climbs back to: listed, or last known
     bucket: Bucket,
-    /// A told wait stands until then.
-    blocked: Duration,
+    blocked: Duration, // a told wait stands until then
     cut_at: Option<Duration>,
     health: Health,
     done: Tally,
-    /// Losses since the last answer, and when they began.
-    row: f64,
+    row: f64, // losses since the last answer, and when they began
     row_since: Duration,
     answered: Option<Duration>,
-    /// Mean time to an answer.
-    pace: Option<Duration>,
-    /// Calls a second that it answered this sender while well.
-    usual: f64,
+    pace: Option<Duration>, // mean time to an answer
+    usual: f64,             // calls a second that it answered this sender while well
 }
 
 impl Lane {
@@ -245,8 +225,7 @@
 struct Endpoint {
     lane: LaneId,
     live: bool,
-    /// Calls that it may have in flight.
-    cap: usize,
+    cap: usize, // calls that it may have in flight
 }
 
 #[derive(Default)]
@@ -265,8 +244,7 @@
     endpoint: EndpointId,
     lane: LaneId,
     sent: Duration,
-    /// Those without an outcome.
-    packets: Vec<PacketId>,
+    packets: Vec<PacketId>, // those without an outcome
     judged: bool,
     given_up: bool,
 }
@@ -276,10 +254,8 @@
 enum State {
     Held(Option<Duration>),
     Out(u64, Option<Duration>),
-    /// Its client took it back while a dispatch is out; nothing more is owed.
-    Withdrawn(u64),
-    /// It may not be dispatched again and is owed its final answer this round.
-    Spent(Option<Duration>),
+    Withdrawn(u64), // its client took it back while a dispatch is out; nothing more is owed
+    Spent(Option<Duration>), // it may not be dispatched again and is owed its final answer this round
     Done,
     Dismissed,
     Scrapped,
@@ -288,8 +264,7 @@
 struct Kept {
     packet: Packet,
     trade: Trade,
-    /// When its answer is wanted.
-    soft: Duration,
+    soft: Duration, // when its answer is wanted
     dispatches: u32,
     over_share: bool,
     state: State,
@@ -322,24 +297,20 @@
     retry_after: Option<Duration>,
     settle: Duration,
     trades: Vec<Trade>,
-    /// This sender's part of each customer's quota.
-    quotas: Vec<f64>,
+    quotas: Vec<f64>, // this sender's part of each customer's quota
     kinds: Vec<Kind>,
     rates_listed: bool,
     by_halves: bool,
-    /// The tightest soft limit: the scale of all that is measured.
-    soft: Duration,
+    soft: Duration, // the tightest soft limit: the scale of all that is measured
     back: Return,
 }
 
 impl Figures {
     fn new(terms: Terms) -> Self {
         let least = Duration::from_millis(1);
-        let trade = |c: &Category| Trade {
-            repeat: c.repeat,
-            in_order: c.in_order,
-            soft: c.soft_limit.max(least),
-            patience: c.patience,
+        let trade = |c: &Category| {
+            let (repeat, in_order, soft, patience) = (c.repeat, c.in_order, c.soft_limit, c.patience);
+            Trade { repeat, in_order, soft, patience }
         };
         let trades: Vec<Trade> = terms.categories.iter().map(trade).collect();
         let senders = terms.senders.max(1) as f64;
@@ -362,19 +333,11 @@
     }
 }
 
-struct Chance(ChaCha8Rng);
-
-impl Default for Chance {
-    fn default() -> Self {
-        Chance(ChaCha8Rng::seed_from_u64(0))
-    }
-}
-
 /// Decides for one sender.
 #[derive(Default)]
 pub struct Sender {
     figures: Figures,
-    rng: Chance,
+    rng: Option<ChaCha8Rng>,
     now: Duration,
     packets: BTreeMap<PacketId, Kept>,
     destinations: BTreeMap<DestinationId, Destination>,
@@ -384,18 +347,16 @@
     next_call: u64,
     turns: BTreeMap<KeyId, Turn>,
     customers: Vec<Bucket>,
-    /// When held packets stop being worth holding.
-    due: BTreeSet<(Duration, PacketId)>,
+    due: BTreeSet<(Duration, PacketId)>, // when held packets stop being worth holding
     spent: Vec<PacketId>,
-    /// Destinations that got packets since the last round.
-    grown: BTreeSet<DestinationId>,
+    grown: BTreeSet<DestinationId>, // destinations that got packets since the last round
     woken_at: Option<Duration>,
 }
 
 impl Sender {
     pub fn new(terms: Terms, seed: u64) -> Self {
         let customers = terms.customers.iter().map(|_| Bucket::default()).collect();
-        let rng = Chance(ChaCha8Rng::seed_from_u64(seed));
+        let rng = Some(ChaCha8Rng::seed_from_u64(seed));
         Sender { customers, rng, figures: Figures::new(terms), ..Sender::default() }
     }
 
@@ -678,9 +639,9 @@
         }
     }
 
-    /// Guards against slots that are filled by calls which many destinations leave unanswered: when no slot is
-    /// free and a well destination has packets waiting, silent calls beyond a quarter of the slots are given
-    /// up, what may be repeated first. Covers slow destinations too. Harm: an answer about to come is lost.
+    /// Guards against slots that are filled by calls which many destinations leave unanswered: when no slot
+    /// is free and a well destination has packets waiting, silent calls beyond a quarter of the slots are
+    /// called off, repeatable ones first. Covers slow destinations too. Harm: an answer to come may be lost.
     fn give_way(&mut self, host: &mut impl Host) {
         if !self.figures.cancel || self.calls.len() < self.figures.slots || !self.well_waits() {
             return;
@@ -715,9 +676,6 @@
     fn place(&mut self, host: &mut impl Host) {
         let held = self.destinations.iter().filter(|(_, d)| !d.held.is_empty());
         let mut ready: Vec<DestinationId> = held.map(|(id, _)| *id).collect();
-        if ready.is_empty() {
-            return;
-        }
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
@@ -789,8 +747,8 @@
         true
     }
 
-    /// In step with the lane's pace and its losses in a row, from the soft limit to a third of the patience.
-    /// For what may not be repeated a time-out is the end, so it is waited for half of the patience.
+    /// In step with the lane's pace and its losses in a row, from the soft limit to a third of the patience;
+    /// half of it for what may not be repeated, as a time-out is its end.
     fn time_out(&self, id: PacketId, lane: LaneId) -> Duration {
         let Kept { packet, trade, .. } = &self.packets[&id];
         let lane = &self.lanes[&lane];
@@ -803,7 +761,7 @@
     }
 
     /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
-    /// have, which its cap on calls in flight tells. Lanes in silence together hold half of the slots at most, and each its bucket.
+    /// have by its cap on calls in flight. Lanes in silence together hold half of the slots at most.
     fn draw(&mut self, id: DestinationId) -> Option<EndpointId> {
         let trials =
             self.calls.values().filter(|c| self.lanes.get(&c.lane).is_some_and(|l| l.health.silent()));
@@ -821,12 +779,8 @@
                 odds.push((free as f64, *id));
             }
         }
-        let mut drawn = self.rng.0.random::<f64>() * odds.iter().map(|(odds, _)| odds).sum::<f64>();
-        let hit = odds.iter().find(|(odds, _)| {
-            drawn -= odds;
-            drawn < 0.0
-        });
-        hit.or(odds.last()).map(|(_, id)| *id)
+        let rng = self.rng.as_mut()?;
+        odds.choose_weighted(rng, |(odds, _)| *odds).ok().map(|(_, id)| *id)
     }
 
     /// Whether it is a held packet's turn.
