Three losses in a row make an outage, a silent time-out is one of them

One time-out in silence put the return guard on the lane for all of the warming time. Told from a hang by the answers in between. Harm: an outage is seen one or two calls later, at most at the silent lane's rate.

--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
 const SILENCE: f64 = 6.0; // times the usual answer time, with nothing else answering
 const WAITED: f64 = 8.0; // a dispatch is given up after this many times the usual answer time
-const LOSSES: f64 = 2.0; // in a row make an outage; a full refusal counts half, being mostly a limit
+const LOSSES: f64 = 3.0; // in a row make an outage; a full refusal counts half, being mostly a limit
 const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
 const SPARE: usize = 16; // one part in so many of the hold is kept free
 
@@ -192,16 +192,16 @@
         });
     }
 
-    /// A loss: a call that came back without an answer to its packet. Losses in a row make an outage, or a
-    /// time-out while nothing else answered. Refusals of a limit come in short rows, those of a destination
-    /// that is shut go on: they must last a soft limit.
-    fn note_loss(&mut self, now: Duration, weight: f64, silent: bool, figures: &Figures) {
+    /// A loss: a call that came back without an answer to its packet. Losses in a row make an outage; one or
+    /// two may be a destination that loses a part of its calls, which must not be throttled for them. Refusals
+    /// of a limit come in short rows, those of a destination that is shut go on: they must last a soft limit.
+    fn note_loss(&mut self, now: Duration, weight: f64, figures: &Figures) {
         if self.row == 0.0 {
             self.row_since = now;
         }
         self.row += weight;
         let lasting = weight == 1.0 || now - self.row_since >= figures.soft;
-        if self.row >= LOSSES && lasting || silent {
+        if self.row >= LOSSES && lasting {
             self.health = Health::Sick;
         }
     }
@@ -218,7 +218,7 @@
             self.cut_at = Some(now);
             self.bucket = Bucket { tokens: Some(0.0), at: now };
         }
-        self.note_loss(now, 0.5, false, figures);
+        self.note_loss(now, 0.5, figures);
     }
 }
 
@@ -479,9 +479,7 @@
             Outcome::NoSlot | Outcome::Moot => {}
             _ => {
                 endpoint.cap = 1;
-                let waited = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
-                let silent = waited && lane.answered.is_none_or(|answered| answered < call.sent);
-                lane.note_loss(now, 1.0, silent, figures);
+                lane.note_loss(now, 1.0, figures);
             }
         }
         call.sent
