--- a/src/control.rs
+++ b/src/control.rs
@@ -745,7 +745,7 @@
         true
     }
 
-    /// In step with the lane's pace and its losses in a row, from the soft limit to a third of the patience;
+    /// In step with the lane's pace, from the soft limit to a third of the patience;
     /// half of it for what may not be repeated, as a time-out is its end.
     fn time_out(&self, id: PacketId, lane: LaneId) -> Duration {
         let Kept { packet, trade, .. } = &self.packets[&id];
@@ -753,7 +753,7 @@
         let measured = times(lane.expected(&self.figures), WAITED).max(trade.soft);
         let span = match trade.repeat {
             Repeat::Unrepeatable => trade.patience / 2,
-            _ => times(measured, 1.0 + lane.row / LOSSES).min(trade.patience / 3),
+            _ => measured.min(trade.patience / 3),
         };
         span.min(packet.ends.saturating_sub(self.now))
     }
