--- a/src/control.rs
+++ b/src/control.rs
@@ -637,10 +637,10 @@
         }
     }
 
-    /// Guards against slots filled by calls which destinations leave unanswered, all or some: when no slot is
-    /// free and a well destination has packets waiting, overdue calls beyond a quarter of the slots are called
-    /// off, repeatable ones first; at a well lane, which may just be slow, after twice the silence. Covers
-    /// slow destinations too. Harm: an answer to come may be lost.
+    /// Guards against slots filled by calls which destinations leave unanswered, all or some: when no slot
+    /// is free and a well destination has packets waiting, overdue calls beyond a quarter of the slots are
+    /// called off, repeatable ones first; at a well lane, which may just be slow, after twice the silence.
+    /// Covers slow destinations too. Harm: an answer to come may be lost.
     fn give_way(&mut self, host: &mut impl Host) {
         if !self.figures.cancel || self.calls.len() < self.figures.slots || !self.well_waits() {
             return;
