--- a/src/control.rs
+++ b/src/control.rs
@@ -146,7 +146,6 @@
         self.limit(now, figures).map_or(Duration::ZERO, deficit).max(self.blocked.saturating_sub(now))
     }
 
-    /// A dispatch spends the token.
     fn spend(&mut self, now: Duration, figures: &Figures) {
         if let Some((rate, burst)) = self.limit(now, figures) {
             self.bucket.take(now, rate, burst);
@@ -162,7 +161,6 @@
         times(self.expected(figures), SILENCE).clamp(figures.soft / 8, figures.soft)
     }
 
-    /// Calls answered a second.
     fn served(&mut self, now: Duration, figures: &Figures) -> f64 {
         self.done.read(now, figures.soft) / figures.soft.as_secs_f64()
     }
@@ -382,7 +380,9 @@
             destination.lanes.insert(lane);
             let bucket = self.lanes.entry(lane).or_default();
             if self.figures.rates_listed && line.rate > 0.0 && bucket.listed != Some(line.rate) {
-                (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(line.rate), line.rate);
+                // All senders fill from the listed rate, so each starts with a part, and climbs to the whole.
+                let part = 2.0 * line.rate / (1.0 + self.figures.senders);
+                (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(part), part);
             }
             if destination.endpoints.is_empty() {
                 bucket.pace = None;
