--- a/src/control.rs
+++ b/src/control.rs
@@ -638,7 +638,7 @@
     }
 
     /// Guards against slots filled by calls which destinations leave unanswered, all or some: when no slot
-    /// is free and a well destination has packets waiting, overdue calls beyond a quarter of the slots are
+    /// is free and a well destination has packets waiting, overdue calls beyond an eighth of the slots are
     /// called off, repeatable ones first; at a well lane, which may just be slow, after twice the silence.
     /// Covers slow destinations too. Harm: an answer to come may be lost.
     fn give_way(&mut self, host: &mut impl Host) {
@@ -655,7 +655,7 @@
             }
         }
         silent.sort();
-        for (_, _, id) in silent.iter().take(silent.len().saturating_sub(self.figures.slots / 4)) {
+        for (_, _, id) in silent.iter().take(silent.len().saturating_sub(self.figures.slots / 8)) {
             if let Some(call) = self.calls.get_mut(id).filter(|call| !call.given_up) {
                 call.given_up = true;
                 for packet in &call.packets {
