--- a/src/control.rs
+++ b/src/control.rs
@@ -8,9 +8,8 @@
 //! 2. silence watch: a lane whose calls stay out unusually long gets one new call at a time, and its silent
 //!    calls give way where others wait for their slots;
 //! 3. endpoint caps: an endpoint that lost a call starts again at one in flight and grows with answers;
-//! 4. measured time-outs: a dispatch is waited for in step with the lane's pace;
-//! 5. order of credit: which of a destination's held packets goes first;
-//! 6. making room: a hold that is nearly full dismisses the packet with the least to hope for.
+//! 4. order of credit: which of a destination's held packets goes first;
+//! 5. making room: a hold that is nearly full dismisses the packet with the least to hope for.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -27,7 +26,6 @@
 const BURST: f64 = 0.25; // seconds of r; a whole second overran limits that all senders share
 const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
 const SILENCE: f64 = 4.0; // times the usual answer time, with nothing else answering
-const WAITED: f64 = 20.0; // a dispatch is given up after this many times the usual answer time
 const LOSSES: f64 = 3.0; // in a row make an outage; a full refusal counts half, being mostly a limit
 const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
 const SPARE: usize = 16; // one part in so many of the hold is kept free
@@ -737,7 +735,7 @@
         self.calls.insert(call, new);
         self.lanes.entry(lane).or_default().spend(self.now, &self.figures);
         for (_, packet) in ranked.into_iter().take(batch) {
-            let time_out = self.time_out(packet, lane);
+            let time_out = self.time_out(packet);
             let Some(kept) = self.packets.get_mut(&packet) else { continue };
             let State::Held(doubt) = kept.state else { continue };
             kept.dispatches += 1;
@@ -747,17 +745,12 @@
         true
     }
 
-    /// In step with the lane's pace, from the soft limit to a third of the patience;
-    /// half of it for what may not be repeated, as a time-out is its end.
-    fn time_out(&self, id: PacketId, lane: LaneId) -> Duration {
+    /// A third of the patience, so that what may go again does; the whole for what may not, as a time-out is
+    /// its end. Slots that others need are freed by giving way, not by these.
+    fn time_out(&self, id: PacketId) -> Duration {
         let Kept { packet, trade, .. } = &self.packets[&id];
-        let lane = &self.lanes[&lane];
-        let measured = times(lane.expected(&self.figures), WAITED).max(trade.soft);
-        let span = match trade.repeat {
-            Repeat::Unrepeatable => trade.patience / 2,
-            _ => measured.min(trade.patience / 3),
-        };
-        span.min(packet.ends.saturating_sub(self.now))
+        let left = packet.ends.saturating_sub(self.now);
+        if trade.repeat == Repeat::Unrepeatable { left } else { left.min(trade.patience / 3) }
     }
 
     /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
