More than three senders share the floor and the least step of three

Change: floor and least step shrink by three over the number of senders beyond three. Harm: one of many senders that carries most of the traffic climbs slowly out of a refusal.

--- a/src/control.rs
+++ b/src/control.rs
@@ -19,10 +19,11 @@
 
 use crate::host::*;
 
-const FLOOR: f64 = 0.5; // a lane's rate never falls below one call in two seconds
+const FLOOR: f64 = 0.5; // a lane's rate never falls below one call in two seconds, but see CROWD
 const CUT: f64 = 0.5; // a full refusal leaves this share of the rate
 const LIFT: f64 = 1.0 / 16.0; // each success gives back this share of the listed or last known rate
 const STEP: f64 = FLOOR / 2.0; // and where no rate is listed this many calls a second at least
+const CROWD: f64 = 3.0; // more senders than these share its floor: else it alone overruns small limits
 const BURST: f64 = 0.25; // seconds of r; a whole second overran limits that all senders share
 const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
 const SILENCE: f64 = 4.0; // times the usual answer time, with nothing else answering
@@ -184,7 +185,7 @@
         let step = self.top * LIFT;
         self.rate = self.rate.map(|rate| match self.listed {
             Some(listed) => (rate + step).min(listed),
-            None => rate + step.max(STEP),
+            None => rate + step.max(STEP * figures.crowding),
         });
     }
 
@@ -210,7 +211,7 @@
             if self.listed.is_none() && self.row == 0.0 {
                 self.top = self.rate.unwrap_or(served).max(FLOOR);
             }
-            self.rate = Some(self.rate.map_or(served, |rate| rate * CUT).max(FLOOR));
+            self.rate = Some(self.rate.map_or(served, |rate| rate * CUT).max(FLOOR * figures.crowding));
             self.cut_at = Some(now);
             self.bucket = Bucket { tokens: Some(0.0), at: now };
         }
@@ -286,6 +287,7 @@
 #[derive(Default)]
 struct Figures {
     senders: f64,
+    crowding: f64, // share of the floor and the least step that is left to each of many senders
     slots: usize,
     most_held: usize,
     dispatches: u32,
@@ -312,6 +314,7 @@
         let senders = terms.senders.max(1) as f64;
         Figures {
             senders,
+            crowding: (CROWD / senders).min(1.0),
             slots: terms.slots,
             most_held: terms.hold.saturating_sub((terms.hold / SPARE).max(1)),
             dispatches: terms.dispatches,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -46,6 +46,24 @@
     assert_eq!(play.out().len(), 1);
 }
 
+/// lisboa-logs, ten senders: their floors together overran small limits, and refused calls use those up.
+#[test]
+fn many_senders_share_the_floor() {
+    for (senders, gap) in [(3, 2000), (12, 8000)] {
+        let mut play = Play::new(Terms { senders, ..terms() }, 1, 0, 2.0);
+        for _ in 0..4 {
+            play.take(1, 0, 0, None);
+            play.after(8000);
+            play.all_back(Outcome::Full(None));
+        }
+        play.take(1, 0, 0, None);
+        play.after(gap - 100);
+        assert_eq!(play.out().len(), 0, "{senders} senders");
+        play.after(100);
+        assert_eq!(play.out().len(), 1, "{senders} senders");
+    }
+}
+
 #[test]
 fn success_lifts_the_rate_again() {
     let mut play = Play::new(terms(), 1, 0, 16.0);
