--- a/src/control.rs
+++ b/src/control.rs
@@ -346,7 +346,7 @@
     next_call: u64,
     turns: BTreeMap<KeyId, Turn>,
     customers: Vec<Bucket>,
-    due: BTreeSet<(Duration, PacketId)>, // when held packets stop being worth holding
+    due: BTreeSet<(Duration, PacketId)>, // when held packets are looked at again or end
     spent: Vec<PacketId>,
     grown: BTreeSet<DestinationId>, // destinations that got packets since the last round
     woken_at: Option<Duration>,
