--- a/src/control.rs
+++ b/src/control.rs
@@ -124,7 +124,7 @@
         let warm = match self.health {
             Health::Well => return f64::INFINITY,
             Health::Quiet | Health::Sick => 0.0,
-            Health::Back(since) => (now - since).as_secs_f64() / back.cold.as_secs_f64(),
+            Health::Back(since) => now.saturating_sub(since).as_secs_f64() / back.cold.as_secs_f64(),
         };
         let present = back.cold_from + (1.0 - back.cold_from) * warm.min(1.0);
         let part = self.listed.map_or(self.usual, |listed| listed / figures.senders);
@@ -197,7 +197,7 @@
             self.row_since = now;
         }
         self.row += weight;
-        let lasting = weight == 1.0 || now - self.row_since >= figures.soft;
+        let lasting = weight == 1.0 || now.saturating_sub(self.row_since) >= figures.soft;
         if self.row >= LOSSES && lasting {
             self.health = Health::Sick;
         }
@@ -368,7 +368,7 @@
     /// new from this moment on. What is gone and idle is forgotten, but a
     /// destination only after the time of warming: a wait or an outage may outlast its last endpoint.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
-        self.now = now;
+        self.now = now.max(self.now);
         if whole {
             self.endpoints.values_mut().for_each(|e| e.live = false);
         }
@@ -409,7 +409,7 @@
 
     /// A packet is handed in. Its times count from when it was first handed in anywhere.
     pub fn take(&mut self, now: Duration, packet: Packet) {
-        self.now = now;
+        self.now = now.max(self.now);
         let trade = self.figures.trades[packet.category.0];
         let soft = packet.ends.saturating_sub(trade.patience.saturating_sub(trade.soft));
         if let (true, Some(key)) = (trade.in_order, packet.key) {
@@ -429,7 +429,7 @@
 
     /// The client took a packet back, or it is over.
     pub fn withdraw(&mut self, now: Duration, id: PacketId) {
-        self.now = now;
+        self.now = now.max(self.now);
         match self.packets.get(&id).map(|kept| kept.state) {
             Some(State::Out(call, _)) => self.turn(id, State::Withdrawn(call)),
             Some(State::Held(_) | State::Spent(_)) => self.turn(id, State::Scrapped),
@@ -439,7 +439,7 @@
 
     /// A dispatch came back. `over` is set once the packet has ended.
     pub fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool) {
-        self.now = now;
+        self.now = now.max(self.now);
         let Some(kept) = self.packets.get(&id) else { return };
         let (state, key, repeat) = (kept.state, kept.packet.key, kept.trade.repeat);
         let may_go = outcome != Outcome::Moot && kept.dispatches < self.figures.dispatches;
@@ -447,7 +447,7 @@
         let since = self.judge(call, elapsed, outcome);
         let may_still_run = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if let (true, Some(turn)) = (may_still_run, key.and_then(|key| self.turns.get_mut(&key))) {
-            turn.rests_until = now + self.figures.settle;
+            turn.rests_until = now.saturating_add(self.figures.settle);
         }
         let (State::Out(_, doubt), false) = (state, over || outcome == Outcome::Done) else {
             return self.turn(id, State::Done);
@@ -466,7 +466,7 @@
         let Some(lane) = self.lanes.get_mut(&call.lane) else { return call.sent };
         // Each outcome of a call may come in a round of its own and tells its wait anew: the longest stands.
         if let Outcome::Full(Some(wait)) = outcome {
-            lane.blocked = lane.blocked.max(now + wait);
+            lane.blocked = lane.blocked.max(now.saturating_add(wait));
         }
         if std::mem::replace(&mut call.judged, true) {
             return call.sent;
@@ -518,8 +518,8 @@
         let (to, last) = (kept.packet.destination, self.holdable_until(kept));
         let destination = self.destinations.entry(to).or_default();
         // An endpoint may appear within a soft limit; end_due looks again.
-        let until =
-            if destination.endpoints.is_empty() { last.min(self.now + kept.trade.soft) } else { last };
+        let soon = self.now.saturating_add(kept.trade.soft);
+        let until = if destination.endpoints.is_empty() { last.min(soon) } else { last };
         destination.used = self.now;
         destination.held.insert(id);
         self.due.insert((until, id));
@@ -530,7 +530,7 @@
     /// may have run by the destination's memory.
     fn holdable_until(&self, kept: &Kept) -> Duration {
         let last = match (kept.state, kept.trade.repeat) {
-            (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt + memory,
+            (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt.saturating_add(memory),
             _ => Duration::MAX,
         };
         last.min(kept.packet.ends).saturating_sub(kept.trade.soft / TRIP)
@@ -545,7 +545,7 @@
 
     /// The deciding step, once a round after all that happened in it.
     pub fn decide(&mut self, now: Duration, host: &mut impl Host) {
-        self.now = now;
+        self.now = now.max(self.now);
         self.end_due(host);
         self.watch_silence();
         self.dismiss_hopeless(host);
