Packets whose destination left the list are dismissed after a soft limit

Cause: found by taking parts out under the tests: a packet held when its destination's last endpoint drained was kept until its patience, and nothing failed when the check for draining was taken out. Now it is looked at again a soft limit after the list told, and two stories cover both.

--- a/src/control.rs
+++ b/src/control.rs
@@ -401,9 +401,11 @@
             destination.endpoints.retain(|e| self.endpoints.contains_key(e));
             destination.lanes.retain(|lane| lane.1.is_none_or(|e| self.endpoints.contains_key(&e)));
         }
-        let kept =
-            |d: &Destination| now.saturating_sub(d.used) < self.figures.back.cold || !d.endpoints.is_empty();
-        self.destinations.retain(|_, d| kept(d) || !d.held.is_empty());
+        let left = self.destinations.iter().filter(|(id, _)| !self.listed(**id));
+        let held: Vec<PacketId> = left.flat_map(|(_, d)| d.held.iter().copied()).collect();
+        held.into_iter().for_each(|id| self.enter_held(id));
+        let recent = |d: &Destination| d.used.saturating_add(self.figures.back.cold) > now;
+        self.destinations.retain(|_, d| recent(d) || !d.endpoints.is_empty() || !d.held.is_empty());
         self.lanes.retain(|id, _| self.destinations.get(&id.0).is_some_and(|d| d.lanes.contains(id)));
     }
 
@@ -516,16 +518,21 @@
     fn enter_held(&mut self, id: PacketId) {
         let Some(kept) = self.packets.get(&id) else { return };
         let (to, last) = (kept.packet.destination, self.holdable_until(kept));
+        let (listed, soon) = (self.listed(to), self.now.saturating_add(kept.trade.soft));
         let destination = self.destinations.entry(to).or_default();
         // An endpoint may appear within a soft limit; end_due looks again.
-        let soon = self.now.saturating_add(kept.trade.soft);
-        let until = if destination.endpoints.is_empty() { last.min(soon) } else { last };
+        let until = if listed { last } else { last.min(soon) };
         destination.used = self.now;
         destination.held.insert(id);
         self.due.insert((until, id));
         self.grown.insert(to);
     }
 
+    /// Whether an endpoint of it is in the list and does not drain.
+    fn listed(&self, id: DestinationId) -> bool {
+        self.endpoints.values().any(|endpoint| endpoint.live && endpoint.lane.0 == id)
+    }
+
     /// Until when a held packet may still be dispatched: by its patience, and for a deduplicated one that
     /// may have run by the destination's memory.
     fn holdable_until(&self, kept: &Kept) -> Duration {
@@ -565,9 +572,7 @@
             let Some(kept) = self.packets.get(&id) else { continue };
             let State::Held(_) = kept.state else { continue };
             let until = self.holdable_until(kept);
-            let listed =
-                self.destinations.get(&kept.packet.destination).is_some_and(|d| !d.endpoints.is_empty());
-            if until > self.now && listed {
+            if until > self.now && self.listed(kept.packet.destination) {
                 self.due.insert((until, id));
             } else {
                 self.end(id, None, host);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -226,16 +226,35 @@
 #[test]
 fn draining_and_missing_endpoints_get_nothing_new() {
     let mut play = Play::new(terms(), 2, 0, 100.0);
+    play.take(1, 0, 0, None);
+    play.round();
     play.list(false, &[line(0, 0, 0, 100.0, false)]);
+    play.take(1, 0, 0, None);
+    play.round();
+    assert_eq!(play.out(), [1], "its last call is still out, and nothing new goes there");
+    play.back(1, Outcome::Done);
     play.list(true, &[line(2, 2, 0, 100.0, true)]);
-    for destination in 0..3 {
-        play.take(1, destination, 0, None);
-    }
+    play.take(1, 1, 0, None);
+    play.take(1, 2, 0, None);
     play.round();
-    assert_eq!(play.out(), [3]);
+    assert_eq!(play.out(), [4]);
     play.after(2000);
     let wait = Some(ms(250));
-    assert_eq!(play.asked.answers, [(1, Answer::Dismissed(wait)), (2, Answer::Dismissed(wait))]);
+    assert_eq!(play.asked.answers, [(2, Answer::Dismissed(wait)), (3, Answer::Dismissed(wait))]);
+}
+
+/// A packet that was held when its last endpoint left is not parked until its patience ends.
+#[test]
+fn held_packets_of_a_destination_that_left_the_list_are_dismissed() {
+    let mut play = Play::new(terms(), 1, 0, 1.0);
+    play.take(2, 0, 0, None);
+    play.round();
+    play.list(false, &[line(0, 0, 0, 1.0, false)]);
+    play.back(1, Outcome::Done);
+    play.after(1999);
+    assert_eq!(play.asked.answers.len(), 0, "one may appear");
+    play.after(1);
+    assert_eq!(play.asked.answers, [(2, Answer::Dismissed(Some(ms(250))))]);
 }
 
 #[test]
