--- a/src/control.rs
+++ b/src/control.rs
@@ -152,7 +152,7 @@
     }
 
     fn expected(&self, figures: &Figures) -> Duration {
-        self.pace.unwrap_or(figures.soft / 4)
+        self.pace.unwrap_or(figures.soft / 4) // until the first answer
     }
 
     /// When a call without an answer begins to look like a silence.
@@ -171,7 +171,7 @@
         match self.health {
             Health::Well => {
                 let seen = self.served(now, figures);
-                self.usual = seen.max(self.usual - (self.usual - seen) / 64.0).max(FLOOR);
+                self.usual = seen.max(self.usual - (self.usual - seen) / 64.0).max(FLOOR); // a slow peak
             }
             Health::Quiet => self.health = Health::Well,
             Health::Sick => {
