Idle connections closed where calls are lost; rounds cost by what is held, not by the list

Change: a mechanism of closing: more than three senders, and a kind of destination that lost more than one call in 64: nothing idle is left behind. Also guards against connections dropped unseen. Held packets are kept by destination. The wait of a hopeless packet is judged as it enters; what all-new endpoints forgot is no longer forgotten.

--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -225,6 +225,10 @@
         self.book.forget(packet);
     }
 
+    fn close_idle(&mut self, endpoint: EndpointId) {
+        self.out.push(json!(["Release", self.book.addresses.get(endpoint.0 as usize)]));
+    }
+
     fn wake(&mut self, after: Duration) {
         self.out.push(json!(["Schedule", 0, ms(after)]));
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,7 +9,8 @@
 //!    calls give way where others wait for their slots;
 //! 3. endpoint caps: an endpoint that lost a call starts again at one in flight and grows with answers;
 //! 4. order of credit: which of a destination's held packets goes first;
-//! 5. making room: a hold that is nearly full dismisses the packet with the least to hope for.
+//! 5. making room: a hold that is nearly full dismisses the packet with the least to hope for;
+//! 6. closing: where kinds of destination lose calls, many senders leave no idle connection behind.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -28,6 +29,7 @@
 const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
 const SILENCE: f64 = 4.0; // times the usual answer time, with nothing else answering
 const LOSSES: f64 = 3.0; // in a row make an outage; a full refusal counts half, being mostly a limit
+const WEAR: f64 = 1.0 / 64.0; // losses for an answer from which on idle connections are not kept
 const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
 const SPARE: usize = 16; // one part in so many of the hold is kept free
 
@@ -145,12 +147,6 @@
         self.limit(now, figures).map_or(Duration::ZERO, deficit).max(self.blocked.saturating_sub(now))
     }
 
-    fn spend(&mut self, now: Duration, figures: &Figures) {
-        if let Some((rate, burst)) = self.limit(now, figures) {
-            self.bucket.take(now, rate, burst);
-        }
-    }
-
     fn expected(&self, figures: &Figures) -> Duration {
         self.pace.unwrap_or(figures.soft / 4) // until the first answer
     }
@@ -222,6 +218,7 @@
 struct Endpoint {
     lane: LaneId,
     live: bool,
+    kind: KindId,
     cap: usize, // calls that it may have in flight
 }
 
@@ -230,7 +227,6 @@
     endpoints: BTreeSet<EndpointId>,
     lanes: BTreeSet<LaneId>,
     batch: usize,
-    held: BTreeSet<PacketId>,
     used: Duration,
 }
 
@@ -260,7 +256,7 @@
 
 struct Kept {
     packet: Packet,
-    trade: Trade,
+    trade: Category,
     soft: Duration, // when its answer is wanted
     dispatches: u32,
     over_share: bool,
@@ -274,15 +270,6 @@
     rests_until: Duration,
 }
 
-/// What decisions use of a category.
-#[derive(Clone, Copy)]
-struct Trade {
-    repeat: Repeat,
-    in_order: bool,
-    soft: Duration,
-    patience: Duration,
-}
-
 /// What decisions use of the terms.
 #[derive(Default)]
 struct Figures {
@@ -294,7 +281,7 @@
     cancel: bool,
     retry_after: Option<Duration>,
     settle: Duration,
-    trades: Vec<Trade>,
+    trades: Vec<Category>,
     quotas: Vec<f64>, // this sender's part of each customer's quota
     kinds: Vec<Kind>,
     rates_listed: bool,
@@ -306,11 +293,7 @@
 impl Figures {
     fn new(terms: Terms) -> Self {
         let least = Duration::from_millis(1);
-        let trade = |c: &Category| {
-            let (repeat, in_order, soft, patience) = (c.repeat, c.in_order, c.soft_limit, c.patience);
-            Trade { repeat, in_order, soft, patience }
-        };
-        let trades: Vec<Trade> = terms.categories.iter().map(trade).collect();
+        let trades = terms.categories;
         let senders = terms.senders.max(1) as f64;
         Figures {
             senders,
@@ -321,7 +304,12 @@
             cancel: terms.cancel,
             retry_after: terms.retry_after,
             settle: terms.settle,
-            soft: trades.iter().map(|trade| trade.soft).min().unwrap_or(terms.connect_time_out).max(least),
+            soft: trades
+                .iter()
+                .map(|trade| trade.soft_limit)
+                .min()
+                .unwrap_or(terms.connect_time_out)
+                .max(least),
             trades,
             quotas: terms.customers.iter().map(|c| c.quota / senders).collect(),
             kinds: terms.kinds,
@@ -340,6 +328,7 @@
     now: Duration,
     packets: BTreeMap<PacketId, Kept>,
     destinations: BTreeMap<DestinationId, Destination>,
+    held: BTreeMap<DestinationId, BTreeSet<PacketId>>, // only destinations that have some
     lanes: BTreeMap<LaneId, Lane>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     calls: BTreeMap<u64, Call>,
@@ -347,8 +336,9 @@
     turns: BTreeMap<KeyId, Turn>,
     customers: Vec<Bucket>,
     due: BTreeSet<(Duration, PacketId)>, // when held packets are looked at again or end
-    spent: Vec<PacketId>,
-    grown: BTreeSet<DestinationId>, // destinations that got packets since the last round
+    wear: Vec<(Tally, Tally)>,           // answers and losses by kind
+    idle: BTreeSet<EndpointId>,          // where a call came back this round
+    spent: Vec<(PacketId, Option<Duration>)>, // packets to be answered this round, and what wait is told
     woken_at: Option<Duration>,
 }
 
@@ -356,7 +346,8 @@
     pub fn new(terms: Terms, seed: u64) -> Self {
         let customers = terms.customers.iter().map(|_| Bucket::default()).collect();
         let rng = Some(ChaCha8Rng::seed_from_u64(seed));
-        Sender { customers, rng, figures: Figures::new(terms), ..Sender::default() }
+        let wear = terms.kinds.iter().map(|_| Default::default()).collect();
+        Sender { customers, wear, rng, figures: Figures::new(terms), ..Sender::default() }
     }
 
     /// Whether anything is still owed or awaited for a packet.
@@ -365,8 +356,7 @@
     }
 
     /// News of the destination list. A whole list replaces the old one; what drains or is gone gets nothing
-    /// new from this moment on. What is gone and idle is forgotten, but a
-    /// destination only after the time of warming: a wait or an outage may outlast its last endpoint.
+    /// new. What is gone and idle is forgotten, a destination only after the time of warming, as a wait may last.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
         self.now = now.max(self.now);
         if whole {
@@ -385,14 +375,8 @@
                 let part = 2.0 * line.rate / (1.0 + self.figures.senders);
                 (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(part), part);
             }
-            if destination.endpoints.is_empty() {
-                bucket.pace = None;
-                if bucket.health == Health::Quiet {
-                    bucket.health = Health::Well;
-                }
-            }
             destination.endpoints.insert(line.endpoint);
-            let new = Endpoint { lane, live, cap };
+            let new = Endpoint { lane, live, kind: line.kind, cap };
             self.endpoints.entry(line.endpoint).or_insert(new).live = live;
         }
         let calls = &self.calls;
@@ -401,11 +385,11 @@
             destination.endpoints.retain(|e| self.endpoints.contains_key(e));
             destination.lanes.retain(|lane| lane.1.is_none_or(|e| self.endpoints.contains_key(&e)));
         }
-        let left = self.destinations.iter().filter(|(id, _)| !self.listed(**id));
-        let held: Vec<PacketId> = left.flat_map(|(_, d)| d.held.iter().copied()).collect();
+        let left = self.held.iter().filter(|(id, _)| !self.listed(**id));
+        let held: Vec<PacketId> = left.flat_map(|(_, held)| held.iter().copied()).collect();
         held.into_iter().for_each(|id| self.enter_held(id));
         let recent = |d: &Destination| d.used.saturating_add(self.figures.back.cold) > now;
-        self.destinations.retain(|_, d| recent(d) || !d.endpoints.is_empty() || !d.held.is_empty());
+        self.destinations.retain(|id, d| !d.endpoints.is_empty() || self.held.contains_key(id) || recent(d));
         self.lanes.retain(|id, _| self.destinations.get(&id.0).is_some_and(|d| d.lanes.contains(id)));
     }
 
@@ -413,7 +397,7 @@
     pub fn take(&mut self, now: Duration, packet: Packet) {
         self.now = now.max(self.now);
         let trade = self.figures.trades[packet.category.0];
-        let soft = packet.ends.saturating_sub(trade.patience.saturating_sub(trade.soft));
+        let soft = packet.ends.saturating_sub(trade.patience.saturating_sub(trade.soft_limit));
         if let (true, Some(key)) = (trade.in_order, packet.key) {
             self.turns.entry(key).or_default().queue.push_back(packet.id);
         }
@@ -473,14 +457,18 @@
         if std::mem::replace(&mut call.judged, true) {
             return call.sent;
         }
+        self.idle.insert(call.endpoint);
+        let (answers, losses) = &mut self.wear[endpoint.kind.0];
         match outcome {
             Outcome::Done => {
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
+                answers.add(now, figures.soft * 8);
                 lane.note_done(now, elapsed, figures);
             }
             Outcome::Full(_) => lane.note_full(now, call.sent, figures),
             Outcome::NoSlot | Outcome::Moot => {}
             _ => {
+                losses.add(now, figures.soft * 8);
                 endpoint.cap = 1;
                 lane.note_loss(now, 1.0, figures);
             }
@@ -496,7 +484,11 @@
         match (from, to) {
             (State::Out(..), State::Withdrawn(_)) => return,
             (State::Held(_), _) => {
-                self.destinations.entry(destination).or_default().held.remove(&id);
+                let mut held = self.held.remove(&destination).unwrap_or_default();
+                held.remove(&id);
+                if !held.is_empty() {
+                    self.held.insert(destination, held);
+                }
             }
             (State::Out(call, _) | State::Withdrawn(call), _) => {
                 self.calls.entry(call).and_modify(|call| call.packets.retain(|other| *other != id));
@@ -506,7 +498,7 @@
         }
         match to {
             State::Held(_) => self.enter_held(id),
-            State::Spent(_) => self.spent.push(id),
+            State::Spent(_) => self.spent.push((id, None)),
             State::Out(call, _) => {
                 self.calls.entry(call).and_modify(|call| call.packets.push(id));
             }
@@ -518,19 +510,28 @@
     fn enter_held(&mut self, id: PacketId) {
         let Some(kept) = self.packets.get(&id) else { return };
         let (to, last) = (kept.packet.destination, self.holdable_until(kept));
-        let (listed, soon) = (self.listed(to), self.now.saturating_add(kept.trade.soft));
+        let (listed, soon) = (self.listed(to), self.now.saturating_add(kept.trade.soft_limit));
         let destination = self.destinations.entry(to).or_default();
         // An endpoint may appear within a soft limit; end_due looks again.
         let until = if listed { last } else { last.min(soon) };
         destination.used = self.now;
-        destination.held.insert(id);
+        // A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after.
+        let rate =
+            |lane: &LaneId| self.lanes[lane].rate.map_or(f64::INFINITY, |r| r.max(self.lanes[lane].top));
+        let rate = destination.lanes.iter().map(rate).sum::<f64>() * destination.batch.max(1) as f64;
+        let held = self.held.entry(to).or_default();
+        let wait = span_of(held.len() as f64, rate);
+        if rate > 0.0 && self.now.saturating_add(wait) > kept.packet.ends {
+            self.spent.push((id, Some(wait)));
+        }
+        held.insert(id);
         self.due.insert((until, id));
-        self.grown.insert(to);
     }
 
     /// Whether an endpoint of it is in the list and does not drain.
     fn listed(&self, id: DestinationId) -> bool {
-        self.endpoints.values().any(|endpoint| endpoint.live && endpoint.lane.0 == id)
+        let live = |id| self.endpoints.get(id).is_some_and(|endpoint| endpoint.live);
+        self.destinations.get(&id).is_some_and(|destination| destination.endpoints.iter().any(live))
     }
 
     /// Until when a held packet may still be dispatched: by its patience, and for a deduplicated one that
@@ -540,7 +541,7 @@
             (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt.saturating_add(memory),
             _ => Duration::MAX,
         };
-        last.min(kept.packet.ends).saturating_sub(kept.trade.soft / TRIP)
+        last.min(kept.packet.ends).saturating_sub(kept.trade.soft_limit / TRIP)
     }
 
     fn leave(&mut self, id: PacketId) {
@@ -554,8 +555,8 @@
     pub fn decide(&mut self, now: Duration, host: &mut impl Host) {
         self.now = now.max(self.now);
         self.end_due(host);
+        self.close_idle(host);
         self.watch_silence();
-        self.dismiss_hopeless(host);
         self.make_room(host);
         self.give_way(host);
         self.place(host);
@@ -564,8 +565,8 @@
 
     /// Answers what may not be dispatched again and what has run out of time.
     fn end_due(&mut self, host: &mut impl Host) {
-        for id in std::mem::take(&mut self.spent) {
-            self.end(id, None, host);
+        for (id, wait) in std::mem::take(&mut self.spent) {
+            self.end(id, wait, host);
         }
         while let Some((at, id)) = self.due.first().copied().filter(|(at, _)| *at <= self.now) {
             self.due.remove(&(at, id));
@@ -580,13 +581,27 @@
         }
     }
 
+    /// Idle connections fill the tables of endpoints that take few, and some are dropped unseen. Where a
+    /// kind of destination loses calls, none is kept.
+    fn close_idle(&mut self, host: &mut impl Host) {
+        for id in std::mem::take(&mut self.idle) {
+            let Some(endpoint) = self.endpoints.get(&id) else { continue };
+            let (now, span) = (self.now, self.figures.soft * 8);
+            let (answers, losses) = &mut self.wear[endpoint.kind.0];
+            let worn = losses.read(now, span) > answers.read(now, span) * WEAR;
+            if worn && self.figures.crowding < 1.0 && self.calls.values().all(|call| call.endpoint != id) {
+                host.close_idle(id);
+            }
+        }
+    }
+
     /// The final answer: a dismissal where the category lets the client try again without harm.
     fn end(&mut self, id: PacketId, wait: Option<Duration>, host: &mut impl Host) {
         let Some(kept) = self.packets.get(&id) else { return };
         let (State::Held(doubt) | State::Spent(doubt)) = kept.state else { return };
         let harmless = doubt.is_none() || kept.trade.repeat != Repeat::Unrepeatable;
         if harmless {
-            let wait = wait.unwrap_or_default().max(kept.trade.soft / TRIP);
+            let wait = wait.unwrap_or_default().max(kept.trade.soft_limit / TRIP);
             host.dismiss(id, self.figures.retry_after.map(|most| wait.min(most)));
             self.turn(id, State::Dismissed);
         } else {
@@ -607,38 +622,13 @@
         }
     }
 
-    /// A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after.
-    fn dismiss_hopeless(&mut self, host: &mut impl Host) {
-        for id in std::mem::take(&mut self.grown) {
-            let Some(destination) = self.destinations.get(&id) else { continue };
-            let rate = |lane: &Lane| lane.rate.map_or(f64::INFINITY, |rate| rate.max(lane.top));
-            let rate: f64 = destination.lanes.iter().map(|lane| rate(&self.lanes[lane])).sum();
-            let rate = rate * destination.batch.max(1) as f64;
-            if !rate.is_normal() {
-                continue;
-            }
-            let mut line: Vec<_> =
-                destination.held.iter().map(|id| (self.packets[id].packet.ends, *id)).collect();
-            line.sort();
-            let mut ahead = 0.0;
-            for (ends, packet) in line {
-                let wait = span_of(ahead, rate);
-                if self.now.saturating_add(wait) > ends {
-                    self.end(packet, Some(wait), host);
-                } else {
-                    ahead += 1.0;
-                }
-            }
-        }
-    }
-
     /// Guards the hold: what is turned away at the door is drawn at random, and a destination in trouble
     /// would fill it. The destination with the most held gives up its oldest, over-share packets first.
     fn make_room(&mut self, host: &mut impl Host) {
         while self.packets.len() > self.figures.most_held {
-            let Some(fullest) = self.destinations.values().max_by_key(|d| d.held.len()) else { return };
+            let Some(fullest) = self.held.values().max_by_key(|held| held.len()) else { return };
             let rank = |id: &&PacketId| (!self.packets[id].over_share, self.packets[id].packet.ends, **id);
-            let Some(victim) = fullest.held.iter().min_by_key(rank).copied() else { return };
+            let Some(victim) = fullest.iter().min_by_key(rank).copied() else { return };
             self.end(victim, self.figures.retry_after, host);
         }
     }
@@ -672,16 +662,15 @@
     }
 
     fn well_waits(&self) -> bool {
-        let mut waiting =
-            self.destinations.iter().filter(|(id, d)| !d.held.is_empty() && self.out(id) < self.cap(d));
-        waiting.any(|(_, d)| d.lanes.iter().any(|lane| self.lanes[lane].health == Health::Well))
+        let mut waiting = self.held.keys().filter(|id| self.out(id) < self.cap(id));
+        waiting
+            .any(|id| self.destinations[id].lanes.iter().any(|lane| self.lanes[lane].health == Health::Well))
     }
 
     /// Past its bucket a packet takes any free slot; while there are fewer slots than takers, the next goes
     /// to the destination furthest below its max-min share.
     fn place(&mut self, host: &mut impl Host) {
-        let held = self.destinations.iter().filter(|(_, d)| !d.held.is_empty());
-        let mut ready: Vec<DestinationId> = held.map(|(id, _)| *id).collect();
+        let mut ready: Vec<DestinationId> = self.held.keys().copied().collect();
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
@@ -695,8 +684,11 @@
 
     /// Max-min shares of the slots by demand: calls in flight and packets held, up to the cap.
     fn shares(&self) -> BTreeMap<DestinationId, f64> {
-        let demand = |id, d: &Destination| (self.out(id) + d.held.len()).min(self.cap(d)) as f64;
-        let mut demands: Vec<_> = self.destinations.iter().map(|(id, d)| (demand(id, d), *id)).collect();
+        let takers: BTreeSet<_> =
+            self.held.keys().copied().chain(self.calls.values().map(|call| call.lane.0)).collect();
+        let held = |id| self.held.get(id).map_or(0, BTreeSet::len);
+        let demand = |id| (self.out(id) + held(id)).min(self.cap(id)) as f64;
+        let mut demands: Vec<_> = takers.iter().map(|id| (demand(id), *id)).collect();
         demands.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let (mut left, mut takers) = (self.figures.slots as f64, demands.len() as f64);
         let mut shares = BTreeMap::new();
@@ -714,23 +706,23 @@
     }
 
     /// The cap: three quarters of the slots, half while failing or slow.
-    fn cap(&self, destination: &Destination) -> usize {
+    fn cap(&self, id: &DestinationId) -> usize {
         let ill =
             |lane: &Lane| lane.health != Health::Well || lane.expected(&self.figures) > self.figures.soft;
-        let ill = destination.lanes.iter().any(|lane| ill(&self.lanes[lane]));
+        let ill = self.destinations[id].lanes.iter().any(|lane| ill(&self.lanes[lane]));
         let cap = if ill { self.figures.slots / 2 } else { self.figures.slots * 3 / 4 };
         cap.max(1)
     }
 
     /// One call to a destination, filled up to its batch. False if none can go now.
     fn dispatch_one(&mut self, id: DestinationId, host: &mut impl Host) -> bool {
-        if self.out(&id) >= self.cap(&self.destinations[&id]) {
+        if self.out(&id) >= self.cap(&id) {
             return false;
         }
         let Some(endpoint_id) = self.draw(id) else { return false };
         let lane = self.endpoints[&endpoint_id].lane;
         let batch = self.destinations[&id].batch.max(1);
-        let may_go = self.destinations[&id].held.iter().filter(|packet| self.may_go(**packet));
+        let may_go = self.held.get(&id).into_iter().flatten().filter(|packet| self.may_go(**packet));
         let mut ranked: Vec<_> =
             may_go.map(|packet| (self.rank(*packet, &self.lanes[&lane]), *packet)).collect();
         if ranked.is_empty() {
@@ -741,7 +733,10 @@
         self.next_call += 1;
         let new = Call { endpoint: endpoint_id, lane, sent, packets: vec![], judged: false, given_up: false };
         self.calls.insert(call, new);
-        self.lanes.entry(lane).or_default().spend(self.now, &self.figures);
+        let booked = self.lanes.entry(lane).or_default();
+        if let Some((rate, burst)) = booked.limit(sent, &self.figures) {
+            booked.bucket.take(sent, rate, burst);
+        }
         for (_, packet) in ranked.into_iter().take(batch) {
             let time_out = self.time_out(packet);
             let Some(kept) = self.packets.get_mut(&packet) else { continue };
@@ -809,9 +804,10 @@
     /// One timer for the earliest thing that can come due without an event.
     fn set_wake(&mut self, host: &mut impl Host) {
         let (now, figures) = (self.now, &self.figures);
-        let held = self.destinations.values().filter(|d| !d.held.is_empty());
-        let lanes = held
-            .flat_map(|d| &d.lanes)
+        let lanes = self
+            .held
+            .keys()
+            .flat_map(|id| &self.destinations[id].lanes)
             .map(|lane| now.saturating_add(self.lanes[lane].opens_in(now, figures)));
         let rests = self.turns.values().filter(|turn| !turn.queue.is_empty()).map(|turn| turn.rests_until);
         let silences =
--- a/src/host.rs
+++ b/src/host.rs
@@ -38,7 +38,7 @@
     Unrepeatable,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Category {
     pub repeat: Repeat,
     pub in_order: bool,
@@ -164,6 +164,8 @@
     fn dismiss(&mut self, packet: PacketId, retry_after: Option<Duration>);
     /// Final answer that promises nothing.
     fn scrap(&mut self, packet: PacketId);
+    /// Close this sender's idle connections to an endpoint.
+    fn close_idle(&mut self, endpoint: EndpointId);
     /// Ask for a round after this span at the latest.
     fn wake(&mut self, after: Duration);
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -51,6 +51,7 @@
 pub struct Asked {
     pub out: BTreeMap<u64, (EndpointId, Duration)>,
     pub cancelled: Vec<u64>,
+    pub closed: Vec<EndpointId>,
     pub answers: Vec<(u64, Answer)>,
     pub wake: Option<Duration>,
 }
@@ -68,6 +69,9 @@
     fn scrap(&mut self, packet: PacketId) {
         self.answers.push((packet.0, Answer::Scrapped));
     }
+    fn close_idle(&mut self, endpoint: EndpointId) {
+        self.closed.push(endpoint);
+    }
     fn wake(&mut self, after: Duration) {
         self.wake = Some(after);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -430,3 +430,20 @@
     play.round();
     assert!(play.asked.cancelled.contains(&1), "{:?}", play.asked.cancelled);
 }
+
+/// The grown deployments: idle connections of hundreds of senders filled the tables of endpoints that take few.
+#[test]
+fn no_idle_connection_stays_where_calls_are_lost_and_senders_are_many() {
+    for (senders, lost, closed) in [(40, 1, 1), (40, 0, 0), (2, 1, 0)] {
+        let mut play = Play::new(Terms { senders, ..terms() }, 2, 0, 100.0);
+        play.take(lost, 0, 0, None);
+        play.round();
+        play.all_back(Outcome::NoConnection);
+        play.take(1, 1, 0, None);
+        play.round();
+        play.back(lost + 1, Outcome::Done);
+        play.round();
+        let kept = play.asked.closed.iter().filter(|endpoint| **endpoint == EndpointId(1)).count();
+        assert_eq!(kept, closed, "{senders} senders, {lost} lost");
+    }
+}
