--- a/src/control.rs
+++ b/src/control.rs
@@ -670,7 +670,12 @@
     /// Past its bucket a packet takes any free slot; while there are fewer slots than takers, the next goes
     /// to the destination furthest below its max-min share.
     fn place(&mut self, host: &mut impl Host) {
-        let mut ready: Vec<DestinationId> = self.held.keys().copied().collect();
+        let open = |lane: &LaneId| self.lanes[lane].opens_in(self.now, &self.figures).is_zero();
+        let held = self.held.keys().copied().filter(|_| self.calls.len() < self.figures.slots);
+        let mut ready: Vec<_> = held.filter(|id| self.destinations[id].lanes.iter().any(open)).collect();
+        if ready.is_empty() {
+            return;
+        }
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
