--- a/src/control.rs
+++ b/src/control.rs
@@ -148,7 +148,7 @@
     }
 
     fn expected(&self, figures: &Figures) -> Duration {
-        self.pace.unwrap_or(figures.soft / 4) // until the first answer
+        self.pace.unwrap_or(figures.usual)
     }
 
     /// When a call without an answer begins to look like a silence.
@@ -286,7 +286,8 @@
     kinds: Vec<Kind>,
     rates_listed: bool,
     by_halves: bool,
-    soft: Duration, // the tightest soft limit: the scale of all that is measured
+    soft: Duration,  // the tightest soft limit: the scale of all that is measured
+    usual: Duration, // mean time to an answer anywhere: what a lane is judged by until its first
     back: Return,
 }
 
@@ -295,6 +296,8 @@
         let least = Duration::from_millis(1);
         let trades = terms.categories;
         let senders = terms.senders.max(1) as f64;
+        let soft =
+            trades.iter().map(|trade| trade.soft_limit).min().unwrap_or(terms.connect_time_out).max(least);
         Figures {
             senders,
             crowding: (CROWD / senders).min(1.0),
@@ -304,12 +307,8 @@
             cancel: terms.cancel,
             retry_after: terms.retry_after,
             settle: terms.settle,
-            soft: trades
-                .iter()
-                .map(|trade| trade.soft_limit)
-                .min()
-                .unwrap_or(terms.connect_time_out)
-                .max(least),
+            soft,
+            usual: soft / 4,
             trades,
             quotas: terms.customers.iter().map(|c| c.quota / senders).collect(),
             kinds: terms.kinds,
@@ -464,6 +463,7 @@
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
                 answers.add(now, figures.soft * 8);
                 lane.note_done(now, elapsed, figures);
+                self.figures.usual = (self.figures.usual * 31 + elapsed) / 32;
             }
             Outcome::Full(_) => lane.note_full(now, call.sent, figures),
             Outcome::NoSlot | Outcome::Moot => {}
