Floor shared only as refusals go on; a quiet lane is well once its silent call is over

Change: a listed lane starts at one call in two seconds at least, the first refusal of an unlisted one leaves as much, each further one halves down to the shared floor; the end of the silent call frees a quiet lane.

--- a/src/control.rs
+++ b/src/control.rs
@@ -193,6 +193,9 @@
             self.row_since = now;
         }
         self.row += weight;
+        if self.health == Health::Quiet {
+            self.health = Health::Well; // the call that was out is over; what is still out is watched
+        }
         let lasting = weight == 1.0 || now.saturating_sub(self.row_since) >= figures.soft;
         if self.row >= LOSSES && lasting {
             self.health = Health::Sick;
@@ -207,7 +210,9 @@
             if self.listed.is_none() && self.row == 0.0 {
                 self.top = self.rate.unwrap_or(served).max(FLOOR);
             }
-            self.rate = Some(self.rate.map_or(served, |rate| rate * CUT).max(FLOOR * figures.crowding));
+            // The floor is shared out among many senders only as refusals go on.
+            let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT);
+            self.rate = Some(cut.max(FLOOR * figures.crowding));
             self.cut_at = Some(now);
             self.bucket = Bucket { tokens: Some(0.0), at: now };
         }
@@ -371,7 +376,7 @@
             let bucket = self.lanes.entry(lane).or_default();
             if self.figures.rates_listed && line.rate > 0.0 && bucket.listed != Some(line.rate) {
                 // All senders fill from the listed rate, so each starts with a part, and climbs to the whole.
-                let part = 2.0 * line.rate / (1.0 + self.figures.senders);
+                let part = (2.0 * line.rate / (1.0 + self.figures.senders)).max(FLOOR).min(line.rate);
                 (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(part), part);
             }
             destination.endpoints.insert(line.endpoint);
