--- a/src/control.rs
+++ b/src/control.rs
@@ -5,8 +5,7 @@
 //! The design: a token bucket per lane (a destination, or a route with a limit of its own) before any slot,
 //! deferral by the bucket's deficit, max-min shares of the slots, a cap per destination. Beside it stand:
 //! 1. return guard: a lane seen in an outage gets a rate that even a cold destination can take;
-//! 2. silence watch: a lane whose calls stay out unusually long gets one new call at a time, and its silent
-//!    calls give way where others wait for their slots;
+//! 2. silence watch: a lane whose calls stay out long gets one new call at a time; they give way to others;
 //! 3. endpoint caps: an endpoint that lost a call starts again at one in flight and grows with answers;
 //! 4. order of credit: which of a destination's held packets goes first;
 //! 5. making room: a hold that is nearly full dismisses the packet with the least to hope for;
@@ -15,7 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use rand::{SeedableRng, seq::IndexedRandom};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
 use crate::host::*;
@@ -118,9 +117,8 @@
 }
 
 impl Lane {
-    /// The rate that the return rule leaves this sender: from the first loss of an outage until the lane is
-    /// warm, so that the moment of its return needs not be known. Covers every kind of outage, as it goes by
-    /// losses alone. Harm: a lane that lost calls by chance is slow for the time of warming.
+    /// The rate that the return rule leaves this sender from an outage on until the lane is warm, so that the
+    /// moment of its return needs not be known. Harm: a lane that lost calls by chance is slow for that time.
     fn guard(&self, now: Duration, figures: &Figures) -> f64 {
         let back = &figures.back;
         let warm = match self.health {
@@ -185,17 +183,13 @@
         });
     }
 
-    /// A loss: a call that came back without an answer to its packet. Losses in a row make an outage; one or
-    /// two may be a destination that loses some of its calls, which must not be throttled for that. Refusals
-    /// of a limit come in short rows, those of a destination that is shut go on: they must last a soft limit.
+    /// A call came back without an answer. Losses in a row make an outage; one or two may be chance.
+    /// Refusals of a limit come in short rows, those of a destination that is shut last a soft limit or more.
     fn note_loss(&mut self, now: Duration, weight: f64, figures: &Figures) {
         if self.row == 0.0 {
             self.row_since = now;
         }
         self.row += weight;
-        if self.health == Health::Quiet {
-            self.health = Health::Well; // the call that was out is over; what is still out is watched
-        }
         let lasting = weight == 1.0 || now.saturating_sub(self.row_since) >= figures.soft;
         if self.row >= LOSSES && lasting {
             self.health = Health::Sick;
@@ -204,7 +198,7 @@
 
     /// Full: r is the served rate at the first refusal, then halves, and what tokens are left were not there.
     /// Calls sent before the last cut tell nothing new: one cut a round at most, and one for each burst.
-    fn note_full(&mut self, now: Duration, sent: Duration, figures: &Figures) {
+    fn note_full(&mut self, now: Duration, sent: Duration, chance: f64, figures: &Figures) {
         if self.cut_at.is_none_or(|cut| sent > cut) {
             let served = self.served(now, figures);
             if self.listed.is_none() && self.row == 0.0 {
@@ -214,7 +208,7 @@
             let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT);
             self.rate = Some(cut.max(FLOOR * figures.crowding));
             self.cut_at = Some(now);
-            self.bucket = Bucket { tokens: Some(0.0), at: now };
+            self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
         }
         self.note_loss(now, 0.5, figures);
     }
@@ -280,6 +274,7 @@
 struct Figures {
     senders: f64,
     crowding: f64, // share of the floor and the least step that is left to each of many senders
+    thin: bool,    // so many senders that a lane sees a call of each now and then
     slots: usize,
     most_held: usize,
     dispatches: u32,
@@ -301,11 +296,11 @@
         let least = Duration::from_millis(1);
         let trades = terms.categories;
         let senders = terms.senders.max(1) as f64;
-        let soft =
-            trades.iter().map(|trade| trade.soft_limit).min().unwrap_or(terms.connect_time_out).max(least);
+        let soft = trades.iter().map(|t| t.soft_limit).min().unwrap_or(terms.connect_time_out).max(least);
         Figures {
             senders,
             crowding: (CROWD / senders).min(1.0),
+            thin: senders > 4.0 * CROWD,
             slots: terms.slots,
             most_held: terms.hold.saturating_sub((terms.hold / SPARE).max(1)),
             dispatches: terms.dispatches,
@@ -324,7 +319,6 @@
     }
 }
 
-/// Decides for one sender.
 #[derive(Default)]
 pub struct Sender {
     figures: Figures,
@@ -359,8 +353,8 @@
         self.packets.contains_key(&id)
     }
 
-    /// News of the destination list. A whole list replaces the old one; what drains or is gone gets nothing
-    /// new. What is gone and idle is forgotten, a destination only after the time of warming, as a wait may last.
+    /// News of the destination list; a whole list replaces the old one. What is gone and idle is forgotten, a
+    /// destination only after the time of warming, as a wait may last.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
         self.now = now.max(self.now);
         if whole {
@@ -379,6 +373,9 @@
                 let part = (2.0 * line.rate / (1.0 + self.figures.senders)).max(FLOOR).min(line.rate);
                 (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(part), part);
             }
+            if destination.endpoints.is_empty() && bucket.health == Health::Quiet {
+                bucket.health = Health::Well; // all machines are new
+            }
             destination.endpoints.insert(line.endpoint);
             let new = Endpoint { lane, live, kind: line.kind, cap };
             self.endpoints.entry(line.endpoint).or_insert(new).live = live;
@@ -451,6 +448,9 @@
     /// Learns from a call, once for all its packets. Tells when it was sent.
     fn judge(&mut self, call: u64, elapsed: Duration, outcome: Outcome) -> Duration {
         let (now, figures) = (self.now, &self.figures);
+        let chance = self.rng.as_mut().map_or(0.5, |rng| rng.random());
+        let mut lanes = self.calls.iter().filter(|(id, _)| **id != call).map(|(_, call)| call.lane);
+        let others = self.calls.get(&call).is_some_and(|call| lanes.any(|lane| lane == call.lane));
         let Some(call) = self.calls.get_mut(&call) else { return now };
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return call.sent };
         let Some(lane) = self.lanes.get_mut(&call.lane) else { return call.sent };
@@ -470,11 +470,14 @@
                 lane.note_done(now, elapsed, figures);
                 self.figures.usual = (self.figures.usual * 31 + elapsed) / 32;
             }
-            Outcome::Full(_) => lane.note_full(now, call.sent, figures),
+            Outcome::Full(_) => lane.note_full(now, call.sent, chance, figures),
             Outcome::NoSlot | Outcome::Moot => {}
             _ => {
                 losses.add(now, figures.soft * 8);
                 endpoint.cap = 1;
+                if lane.health == Health::Quiet && !others && figures.thin {
+                    lane.health = Health::Well; // no other call is out that could free it
+                }
                 lane.note_loss(now, 1.0, figures);
             }
         }
@@ -539,8 +542,7 @@
         self.destinations.get(&id).is_some_and(|destination| destination.endpoints.iter().any(live))
     }
 
-    /// Until when a held packet may still be dispatched: by its patience, and for a deduplicated one that
-    /// may have run by the destination's memory.
+    /// Until when a held packet may be dispatched: by its patience, and the memory of it if it may have run.
     fn holdable_until(&self, kept: &Kept) -> Duration {
         let last = match (kept.state, kept.trade.repeat) {
             (State::Held(Some(doubt)), Repeat::Deduplicated { memory, .. }) => doubt.saturating_add(memory),
@@ -586,15 +588,14 @@
         }
     }
 
-    /// Idle connections fill the tables of endpoints that take few, and some are dropped unseen. Where a
-    /// kind of destination loses calls, none is kept.
+    /// Guards against full connection tables and connections dropped unseen. Harm: handshakes.
     fn close_idle(&mut self, host: &mut impl Host) {
         for id in std::mem::take(&mut self.idle) {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
             let (now, span) = (self.now, self.figures.soft * 8);
             let (answers, losses) = &mut self.wear[endpoint.kind.0];
             let worn = losses.read(now, span) > answers.read(now, span) * WEAR;
-            if worn && self.figures.crowding < 1.0 && self.calls.values().all(|call| call.endpoint != id) {
+            if worn && self.figures.thin && self.calls.values().all(|call| call.endpoint != id) {
                 host.close_idle(id);
             }
         }
@@ -627,8 +628,7 @@
         }
     }
 
-    /// Guards the hold: what is turned away at the door is drawn at random, and a destination in trouble
-    /// would fill it. The destination with the most held gives up its oldest, over-share packets first.
+    /// A destination in trouble would fill the hold: the one with the most held gives up its oldest packet.
     fn make_room(&mut self, host: &mut impl Host) {
         while self.packets.len() > self.figures.most_held {
             let Some(fullest) = self.held.values().max_by_key(|held| held.len()) else { return };
@@ -638,10 +638,9 @@
         }
     }
 
-    /// Guards against slots filled by calls which destinations leave unanswered, all or some: when no slot
-    /// is free and a well destination has packets waiting, overdue calls beyond an eighth of the slots are
-    /// called off, repeatable ones first; at a well lane, which may just be slow, after twice the silence.
-    /// Covers slow destinations too. Harm: an answer to come may be lost.
+    /// Guards against slots filled by calls without an answer: where a well destination has packets waiting,
+    /// overdue calls beyond an eighth of the slots are called off, repeatable ones first; at a well lane,
+    /// which may just be slow, after twice the silence. Harm: an answer to come may be lost.
     fn give_way(&mut self, host: &mut impl Host) {
         if !self.figures.cancel || self.calls.len() < self.figures.slots || !self.well_waits() {
             return;
@@ -672,8 +671,7 @@
             .any(|id| self.destinations[id].lanes.iter().any(|lane| self.lanes[lane].health == Health::Well))
     }
 
-    /// Past its bucket a packet takes any free slot; while there are fewer slots than takers, the next goes
-    /// to the destination furthest below its max-min share.
+    /// Past its bucket a packet takes any free slot; the next goes to whom is furthest below its share.
     fn place(&mut self, host: &mut impl Host) {
         let open = |lane: &LaneId| self.lanes[lane].opens_in(self.now, &self.figures).is_zero();
         let held = self.held.keys().copied().filter(|_| self.calls.len() < self.figures.slots);
@@ -710,7 +708,6 @@
         shares
     }
 
-    /// A destination's calls in flight.
     fn out(&self, id: &DestinationId) -> usize {
         self.calls.values().filter(|call| call.lane.0 == *id).count()
     }
@@ -758,8 +755,7 @@
         true
     }
 
-    /// A third of the patience, so that what may go again does; the whole for what may not, as a time-out is
-    /// its end. Slots that others need are freed by giving way, not by these.
+    /// A third of the patience, so that what may go again does; the whole for what may not.
     fn time_out(&self, id: PacketId) -> Duration {
         let Kept { packet, trade, .. } = &self.packets[&id];
         let left = packet.ends.saturating_sub(self.now);
@@ -769,8 +765,7 @@
     /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
     /// have by its cap on calls in flight. Lanes in silence together hold half of the slots at most.
     fn draw(&mut self, id: DestinationId) -> Option<EndpointId> {
-        let trials =
-            self.calls.values().filter(|c| self.lanes.get(&c.lane).is_some_and(|l| l.health.silent()));
+        let trials = self.calls.values().filter(|call| self.lanes[&call.lane].health.silent());
         let trials_left = (self.figures.slots / 2).max(1).saturating_sub(trials.count());
         let (now, figures) = (self.now, &self.figures);
         let mut odds: Vec<(f64, EndpointId)> = Vec::new();
@@ -789,7 +784,6 @@
         odds.choose_weighted(rng, |(odds, _)| *odds).ok().map(|(_, id)| *id)
     }
 
-    /// Whether it is a held packet's turn.
     fn may_go(&self, id: PacketId) -> bool {
         let kept = &self.packets[&id];
         let turn = kept.packet.key.filter(|_| kept.trade.in_order).and_then(|key| self.turns.get(&key));
@@ -814,20 +808,17 @@
     /// One timer for the earliest thing that can come due without an event.
     fn set_wake(&mut self, host: &mut impl Host) {
         let (now, figures) = (self.now, &self.figures);
-        let lanes = self
-            .held
-            .keys()
-            .flat_map(|id| &self.destinations[id].lanes)
-            .map(|lane| now.saturating_add(self.lanes[lane].opens_in(now, figures)));
+        let lanes = self.held.keys().flat_map(|id| &self.destinations[id].lanes);
+        let opens = lanes.map(|lane| now.saturating_add(self.lanes[lane].opens_in(now, figures)));
         let rests = self.turns.values().filter(|turn| !turn.queue.is_empty()).map(|turn| turn.rests_until);
-        let silences =
-            self.calls.values().map(|call| call.sent + self.lanes[&call.lane].quiet_after(figures));
+        let silences = self.calls.values().map(|c| c.sent + self.lanes[&c.lane].quiet_after(figures));
         let due = self.due.first().map(|(at, _)| *at);
-        let next = lanes.chain(rests).chain(silences).chain(due).filter(|at| *at > now).min();
+        let next = opens.chain(rests).chain(silences).chain(due).filter(|at| *at > now).min();
         let next = next.unwrap_or(Duration::MAX);
         if next < Duration::MAX && self.woken_at.is_none_or(|at| at <= now || next < at) {
             self.woken_at = Some(next);
-            host.wake((next - now).max(Duration::from_micros(1)));
+            // A carrier's clock may be coarser: a wake just before its time would be the last.
+            host.wake(next - now + Duration::from_micros(1));
         }
     }
 }
