--- a/src/control.rs
+++ b/src/control.rs
@@ -198,14 +198,15 @@
 
     /// Full: r is the served rate at the first refusal, then halves, and what tokens are left were not there.
     /// Calls sent before the last cut tell nothing new: one cut a round at most, and one for each burst.
-    fn note_full(&mut self, now: Duration, sent: Duration, chance: f64, figures: &Figures) {
+    fn note_full(&mut self, now: Duration, sent: Duration, chance: f64, room: f64, figures: &Figures) {
         if self.cut_at.is_none_or(|cut| sent > cut) {
             let served = self.served(now, figures);
             if self.listed.is_none() && self.row == 0.0 {
                 self.top = self.rate.unwrap_or(served).max(FLOOR);
             }
             // The floor is shared out among many senders only as refusals go on.
-            let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT);
+            let cut = if figures.thin { CUT.min(room.powi(4)) } else { CUT };
+            let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * cut);
             self.rate = Some(cut.max(FLOOR * figures.crowding));
             self.cut_at = Some(now);
             self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
@@ -334,7 +335,7 @@
     turns: BTreeMap<KeyId, Turn>,
     customers: Vec<Bucket>,
     due: BTreeSet<(Duration, PacketId)>, // when held packets are looked at again or end
-    wear: Vec<(Tally, Tally)>,           // answers and losses by kind
+    wear: Vec<[Tally; 3]>,               // answers, losses and refusals by kind
     idle: BTreeSet<EndpointId>,          // where a call came back this round
     spent: Vec<(PacketId, Option<Duration>)>, // packets to be answered this round, and what wait is told
     woken_at: Option<Duration>,
@@ -370,8 +371,9 @@
             let bucket = self.lanes.entry(lane).or_default();
             if self.figures.rates_listed && line.rate > 0.0 && bucket.listed != Some(line.rate) {
                 // All senders fill from the listed rate, so each starts with a part, and climbs to the whole.
-                let part = (2.0 * line.rate / (1.0 + self.figures.senders)).max(FLOOR).min(line.rate);
-                (bucket.listed, bucket.rate, bucket.top) = (Some(line.rate), Some(part), part);
+                let part = 2.0 * line.rate / (1.0 + self.figures.senders);
+                (bucket.listed, bucket.top) = (Some(line.rate), part);
+                bucket.rate = Some(part.max(FLOOR).min(line.rate));
             }
             if destination.endpoints.is_empty() && bucket.health == Health::Quiet {
                 bucket.health = Health::Well; // all machines are new
@@ -462,7 +464,7 @@
             return call.sent;
         }
         self.idle.insert(call.endpoint);
-        let (answers, losses) = &mut self.wear[endpoint.kind.0];
+        let [answers, losses, refusals] = &mut self.wear[endpoint.kind.0];
         match outcome {
             Outcome::Done => {
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
@@ -470,7 +472,12 @@
                 lane.note_done(now, elapsed, figures);
                 self.figures.usual = (self.figures.usual * 31 + elapsed) / 32;
             }
-            Outcome::Full(_) => lane.note_full(now, call.sent, chance, figures),
+            Outcome::Full(_) => {
+                refusals.add(now, figures.soft * 8);
+                let refused = refusals.read(now, figures.soft * 8);
+                let room = 1.0 - refused / (refused + answers.read(now, figures.soft * 8) + 4.0);
+                lane.note_full(now, call.sent, chance, room, figures);
+            }
             Outcome::NoSlot | Outcome::Moot => {}
             _ => {
                 losses.add(now, figures.soft * 8);
@@ -593,7 +600,7 @@
         for id in std::mem::take(&mut self.idle) {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
             let (now, span) = (self.now, self.figures.soft * 8);
-            let (answers, losses) = &mut self.wear[endpoint.kind.0];
+            let [answers, losses, _] = &mut self.wear[endpoint.kind.0];
             let worn = losses.read(now, span) > answers.read(now, span) * WEAR;
             if worn && self.figures.thin && self.calls.values().all(|call| call.endpoint != id) {
                 host.close_idle(id);
