--- a/src/control.rs
+++ b/src/control.rs
@@ -158,7 +158,7 @@
         self.done.read(now, figures.soft) / figures.soft.as_secs_f64()
     }
 
-    fn note_done(&mut self, now: Duration, elapsed: Duration, figures: &Figures) {
+    fn note_done(&mut self, now: Duration, elapsed: Duration, room: f64, figures: &Figures) {
         self.done.add(now, figures.soft);
         (self.row, self.answered) = (0.0, Some(now));
         self.pace = Some(self.pace.map_or(elapsed, |pace| (pace * 7 + elapsed) / 8));
@@ -177,9 +177,10 @@
             Health::Back(_) => {}
         }
         let step = self.top * LIFT;
+        let least = if figures.thin { room * FLOOR } else { 0.0 };
         self.rate = self.rate.map(|rate| match self.listed {
-            Some(listed) => (rate + step).min(listed),
-            None => rate + step.max(STEP * figures.crowding),
+            Some(listed) => (rate + step).max(least).min(listed),
+            None => (rate + step.max(STEP * figures.crowding)).max(least),
         });
     }
 
@@ -205,8 +206,7 @@
                 self.top = self.rate.unwrap_or(served).max(FLOOR);
             }
             // The floor is shared out among many senders only as refusals go on.
-            let cut = if figures.thin { CUT.min(room.powi(4)) } else { CUT };
-            let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * cut);
+            let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT.min(room));
             self.rate = Some(cut.max(FLOOR * figures.crowding));
             self.cut_at = Some(now);
             self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
@@ -465,17 +465,17 @@
         }
         self.idle.insert(call.endpoint);
         let [answers, losses, refusals] = &mut self.wear[endpoint.kind.0];
+        let (refused, done) = (refusals.read(now, figures.soft * 8), answers.read(now, figures.soft * 8));
+        let room = if figures.thin { (1.0 - refused / (refused + done + 4.0)).powi(4) } else { 1.0 };
         match outcome {
             Outcome::Done => {
                 endpoint.cap = (endpoint.cap + 1).min(figures.slots);
                 answers.add(now, figures.soft * 8);
-                lane.note_done(now, elapsed, figures);
+                lane.note_done(now, elapsed, room, figures);
                 self.figures.usual = (self.figures.usual * 31 + elapsed) / 32;
             }
             Outcome::Full(_) => {
                 refusals.add(now, figures.soft * 8);
-                let refused = refusals.read(now, figures.soft * 8);
-                let room = 1.0 - refused / (refused + answers.read(now, figures.soft * 8) + 4.0);
                 lane.note_full(now, call.sent, chance, room, figures);
             }
             Outcome::NoSlot | Outcome::Moot => {}
