--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,5 @@
-//! Every decision of a sender. A carrier reports what happened through [`Sender::list`], [`Sender::take`],
-//! [`Sender::outcome`] and [`Sender::withdraw`], which only take note; once a round it calls
-//! [`Sender::decide`], which acts through the [`Host`]. The interface and its ids stand in `host.rs`.
+//! Every decision of a sender. [`Sender::list`], [`Sender::take`], [`Sender::outcome`], [`Sender::withdraw`] take
+//! note; once a round [`Sender::decide`] acts through the [`Host`]. The interface stands in `host.rs`.
 //!
 //! The design: a token bucket per lane (a destination, or a route with a limit of its own) before any slot,
 //! deferral by the bucket's deficit, max-min shares of the slots, a cap per destination. Beside it stand:
@@ -72,7 +71,6 @@
         self.tokens.map_or(burst, |tokens| (tokens + accrued).min(burst))
     }
 
-    /// Takes a token if there is one.
     fn take(&mut self, now: Duration, rate: f64, burst: f64) -> bool {
         let tokens = self.read(now, rate, burst);
         if tokens >= 1.0 {
@@ -92,7 +90,6 @@
 }
 
 impl Health {
-    /// Nothing answers now.
     fn silent(self) -> bool {
         matches!(self, Health::Quiet | Health::Sick)
     }
@@ -131,7 +128,6 @@
         (GUARD * back.fall_multiple * present * part).max(FLOOR / figures.senders)
     }
 
-    /// Rate and burst that bind now, if any do.
     fn limit(&self, now: Duration, figures: &Figures) -> Option<(f64, f64)> {
         let guard = self.guard(now, figures);
         let rate = self.rate.unwrap_or(f64::INFINITY).min(guard);
@@ -146,7 +142,7 @@
     }
 
     fn expected(&self, figures: &Figures) -> Duration {
-        self.pace.unwrap_or(figures.usual)
+        self.pace.unwrap_or_default().max(figures.usual)
     }
 
     /// When a call without an answer begins to look like a silence.
@@ -349,7 +345,6 @@
         Sender { customers, wear, rng, figures: Figures::new(terms), ..Sender::default() }
     }
 
-    /// Whether anything is still owed or awaited for a packet.
     pub fn holds(&self, id: PacketId) -> bool {
         self.packets.contains_key(&id)
     }
@@ -543,7 +538,6 @@
         self.due.insert((until, id));
     }
 
-    /// Whether an endpoint of it is in the list and does not drain.
     fn listed(&self, id: DestinationId) -> bool {
         let live = |id| self.endpoints.get(id).is_some_and(|endpoint| endpoint.live);
         self.destinations.get(&id).is_some_and(|destination| destination.endpoints.iter().any(live))
