--- a/src/control.rs
+++ b/src/control.rs
@@ -21,7 +21,6 @@
 const FLOOR: f64 = 0.5; // a lane's rate never falls below one call in two seconds, but see CROWD
 const CUT: f64 = 0.5; // a full refusal leaves this share of the rate
 const LIFT: f64 = 1.0 / 16.0; // each success gives back this share of the listed or last known rate
-const STEP: f64 = FLOOR / 2.0; // and where no rate is listed this many calls a second at least
 const CROWD: f64 = 3.0; // more senders than these share its floor: else it alone overruns small limits
 const BURST: f64 = 0.25; // seconds of r; a whole second overran limits that all senders share
 const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
@@ -143,7 +142,8 @@
     }
 
     fn expected(&self, figures: &Figures) -> Duration {
-        self.pace.unwrap_or_default().max(figures.usual)
+        let own = self.pace.unwrap_or(figures.usual);
+        if figures.thin { own.max(figures.usual) } else { own } // one fast answer is no measure
     }
 
     /// When a call without an answer begins to look like a silence.
@@ -173,7 +173,7 @@
             Health::Back(since) if now - since >= figures.back.cold => self.health = Health::Well,
             Health::Back(_) => {}
         }
-        let least = if self.listed.is_none() { STEP * figures.crowding } else { 0.0 };
+        let least = if self.listed.is_none() { FLOOR / 2.0 * figures.crowding } else { 0.0 };
         let (step, room) = ((self.top * LIFT).max(least), if figures.thin { room * FLOOR } else { 0.0 });
         self.rate = self.rate.map(|r| (r + step).max(room).min(self.listed.unwrap_or(f64::INFINITY)));
     }
@@ -289,10 +289,10 @@
 
 impl Figures {
     fn new(terms: Terms) -> Self {
-        let least = Duration::from_millis(1);
         let trades = terms.categories;
         let senders = terms.senders.max(1) as f64;
-        let soft = trades.iter().map(|t| t.soft_limit).min().unwrap_or(terms.connect_time_out).max(least);
+        let soft =
+            trades.iter().map(|t| t.soft_limit).min().unwrap_or_default().max(Duration::from_millis(1));
         Figures {
             senders,
             crowding: (CROWD / senders).min(1.0),
@@ -469,7 +469,7 @@
                 answers.add(now, figures.soft * 8);
                 self.again = (self.again + AGAIN).min(figures.slots as f64);
                 lane.note_done(now, elapsed, room, figures);
-                self.figures.usual = (self.figures.usual * 31 + elapsed) / 32;
+                self.figures.usual = (self.figures.usual * 7 + elapsed) / 8;
             }
             Outcome::Full(_) => {
                 refusals.add(now, figures.soft * 8);
@@ -525,12 +525,13 @@
         let until = if listed { last } else { last.min(soon) };
         destination.used = self.now;
         // A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after.
-        let rate =
-            |lane: &LaneId| self.lanes[lane].rate.map_or(f64::INFINITY, |r| r.max(self.lanes[lane].top));
-        let rate = destination.lanes.iter().map(rate).sum::<f64>() * destination.batch.max(1) as f64;
+        let lanes: Vec<&Lane> = destination.lanes.iter().map(|lane| &self.lanes[lane]).collect();
+        let rate: f64 = lanes.iter().map(|lane| lane.rate.map_or(f64::INFINITY, |r| r.max(lane.top))).sum();
+        let opens = lanes.iter().map(|lane| lane.opens_in(self.now, &self.figures)).min();
         let held = self.held.entry(to).or_default();
-        let wait = span_of(held.len() as f64, rate);
-        if rate > 0.0 && self.now.saturating_add(wait) > kept.packet.ends {
+        let ahead = span_of(held.len() as f64, rate * destination.batch.max(1) as f64);
+        let wait = ahead.max(opens.filter(|_| self.figures.thin).unwrap_or_default());
+        if !lanes.is_empty() && self.now.saturating_add(wait) > kept.packet.ends {
             self.spent.push((id, Some(wait)));
         }
         held.insert(id);
@@ -616,9 +617,8 @@
         }
     }
 
-    /// Guards against calls that are taken and not answered: before the first time-out, the lane is kept to
-    /// one new call at a time. Harm: a lane with one very slow call and no other idles until that answers; so
-    /// where traffic is thin, and others seldom tell, this is left out.
+    /// Guards against calls that are taken and not answered: before the first time-out a lane gets one new
+    /// call at a time. Harm: it idles behind one slow call; left out in thin traffic, as others seldom tell.
     fn watch_silence(&mut self) {
         for call in self.calls.values() {
             let Some(lane) = self.lanes.get_mut(&call.lane) else { continue };
@@ -649,7 +649,8 @@
         let mut silent: Vec<(bool, Duration, u64)> = Vec::new();
         for (id, call) in &self.calls {
             let lane = &self.lanes[&call.lane];
-            let surely = if lane.health == Health::Well && !self.figures.thin { 2 } else { 1 };
+            let slow = !self.figures.thin || lane.quiet_after(&self.figures) > self.figures.soft / 3;
+            let surely = if lane.health == Health::Well && slow { 2 } else { 1 };
             if self.now >= call.sent + lane.quiet_after(&self.figures) * surely {
                 let last = call.packets.iter().any(|p| self.packets[p].trade.repeat == Repeat::Unrepeatable);
                 silent.push((last, call.sent, *id));
@@ -764,8 +765,8 @@
         if trade.repeat == Repeat::Unrepeatable { left } else { left.min(trade.patience / 3) }
     }
 
-    /// Draws among the endpoints that may take a call, with odds in step with the room each is thought to
-    /// have by its cap on calls in flight. Lanes in silence together hold half of the slots at most.
+    /// Draws an endpoint with odds in step with the room that its cap on calls in flight leaves. Lanes in
+    /// silence together hold half of the slots at most.
     fn draw(&mut self, id: DestinationId) -> Option<EndpointId> {
         let trials = self.calls.values().filter(|call| self.lanes[&call.lane].health.silent());
         let trials_left = (self.figures.slots / 2).max(1).saturating_sub(trials.count());
@@ -813,9 +814,9 @@
         let rests = self.turns.values().filter(|turn| !turn.queue.is_empty()).map(|turn| turn.rests_until);
         let silences = self.calls.values().map(|c| c.sent + self.lanes[&c.lane].quiet_after(figures));
         let due = self.due.first().map(|(at, _)| *at);
-        let next = opens.chain(rests).chain(silences).chain(due).filter(|at| *at > now).min();
-        let next = next.unwrap_or(Duration::MAX);
-        if next < Duration::MAX && self.woken_at.is_none_or(|at| at <= now || next < at) {
+        let times = opens.chain(rests).chain(silences).chain(due);
+        let Some(next) = times.filter(|at| *at > now && *at < Duration::MAX).min() else { return };
+        if self.woken_at.is_none_or(|at| at <= now || next < at) {
             self.woken_at = Some(next);
             // A carrier's clock may be coarser: a wake just before its time would be the last.
             host.wake(next - now + Duration::from_micros(1));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -527,3 +527,16 @@
     }
     assert!((4..=8).contains(&again), "no more than there are slots: {again}");
 }
+
+/// lisboa-logs-later, rough-2: packets whose lane would open after their time filled the hold until it ended.
+#[test]
+fn a_packet_whose_lane_opens_too_late_is_dismissed_at_once_where_traffic_is_thin() {
+    for (senders, answers) in [(40, 1), (3, 0)] {
+        let mut play = Play::new(Terms { senders, ..terms() }, 1, 0, 2.0);
+        play.take(1, 0, 0, None);
+        play.round();
+        play.all_back(Outcome::Full(Some(ms(30_000))));
+        play.round();
+        assert_eq!(play.asked.answers.len(), answers, "{senders} senders");
+    }
+}
