Where traffic is thin two failed connects are an outage, tried by each sender's own traffic

Also guards against any outage that many senders each see a little of. Harm: two chance failures slow a lane until it answers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,5 @@
 //! Every decision of a sender. [`Sender::list`], [`Sender::take`], [`Sender::outcome`], [`Sender::withdraw`]
 //! take note; once a round [`Sender::decide`] acts through the [`Host`]. The interface stands in `host.rs`.
-//!
 //! The design: a token bucket per lane (a destination, or a route with a limit of its own) before any slot,
 //! deferral by the bucket's deficit, max-min shares of the slots, a cap per destination. Beside it stand:
 //! 1. return guard: a lane seen in an outage gets a rate that even a cold destination can take;
@@ -47,14 +46,12 @@
 }
 
 impl Tally {
-    fn read(&mut self, now: Duration, span: Duration) -> f64 {
-        self.sum *= (-now.saturating_sub(self.at).as_secs_f64() / span.as_secs_f64()).exp();
-        self.at = now;
-        self.sum
+    fn read(&self, now: Duration, span: Duration) -> f64 {
+        self.sum * (-now.saturating_sub(self.at).as_secs_f64() / span.as_secs_f64()).exp()
     }
 
     fn add(&mut self, now: Duration, span: Duration) {
-        self.sum = self.read(now, span) + 1.0;
+        (self.sum, self.at) = (self.read(now, span) + 1.0, now);
     }
 }
 
@@ -106,7 +103,8 @@
     cut_at: Option<Duration>,
     health: Health,
     done: Tally,
-    row: f64, // losses since the last answer, and when they began
+    asked: Tally, // packets taken for it
+    row: f64,     // losses since the last answer, and when they began
     row_since: Duration,
     answered: Option<Duration>,
     pace: Option<Duration>, // mean time to an answer
@@ -124,7 +122,10 @@
             Health::Back(since) => now.saturating_sub(since).as_secs_f64() / back.cold.as_secs_f64(),
         };
         let present = back.cold_from + (1.0 - back.cold_from) * warm.min(1.0);
-        let part = self.listed.map_or(self.usual, |listed| listed / figures.senders);
+        let part = match self.listed {
+            _ if figures.thin => self.asked.read(now, figures.soft * 8) / (figures.soft * 8).as_secs_f64(),
+            listed => listed.map_or(self.usual, |listed| listed / figures.senders),
+        };
         (GUARD * back.fall_multiple * present * part).max(FLOOR / figures.senders)
     }
 
@@ -151,7 +152,7 @@
         times(self.expected(figures), SILENCE).clamp(figures.soft / 8, figures.soft)
     }
 
-    fn served(&mut self, now: Duration, figures: &Figures) -> f64 {
+    fn served(&self, now: Duration, figures: &Figures) -> f64 {
         self.done.read(now, figures.soft) / figures.soft.as_secs_f64()
     }
 
@@ -166,7 +167,7 @@
             }
             Health::Quiet => self.health = Health::Well,
             Health::Sick => {
-                self.health = Health::Back(now);
+                self.health = if figures.thin { Health::Well } else { Health::Back(now) };
                 // Refusals of a destination that was shut said nothing of its limit.
                 self.rate = self.rate.map(|rate| rate.max(self.top));
             }
@@ -185,7 +186,7 @@
             self.row_since = now;
         }
         self.row += weight;
-        let lasting = weight == 1.0 || now.saturating_sub(self.row_since) >= figures.soft;
+        let lasting = weight >= 1.0 || now.saturating_sub(self.row_since) >= figures.soft;
         if self.row >= LOSSES && lasting {
             self.health = Health::Sick;
         }
@@ -201,8 +202,7 @@
             }
             // The floor is shared out among many senders only as refusals go on.
             let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT.min(room));
-            self.rate = Some(cut.max(FLOOR * figures.crowding));
-            self.cut_at = Some(now);
+            (self.rate, self.cut_at) = (Some(cut.max(FLOOR * figures.crowding)), Some(now));
             self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
         }
         self.note_loss(now, 0.5, figures);
@@ -224,7 +224,6 @@
     used: Duration,
 }
 
-/// A lane is the destination's, or one route's.
 type LaneId = (DestinationId, Option<EndpointId>);
 
 struct Call {
@@ -265,7 +264,6 @@
     rests_until: Duration,
 }
 
-/// What decisions use of the terms.
 #[derive(Default)]
 struct Figures {
     senders: f64,
@@ -401,9 +399,12 @@
             self.turns.entry(key).or_default().queue.push_back(packet.id);
         }
         let over_share = packet.customer.is_some_and(|customer| self.over_share(customer));
-        let (id, state) = (packet.id, State::Held(None));
+        let (id, to, state) = (packet.id, packet.destination, State::Held(None));
         self.packets
             .insert(id, Kept { packet, trade, soft, dispatches: 0, over_share, refused: false, state });
+        for lane in self.destinations.get(&to).into_iter().flat_map(|d| &d.lanes) {
+            self.lanes.entry(*lane).and_modify(|lane| lane.asked.add(now, self.figures.soft * 8));
+        }
         self.enter_held(id);
     }
 
@@ -413,7 +414,6 @@
         !self.customers[customer.0].take(self.now, quota, quota * self.figures.soft.as_secs_f64())
     }
 
-    /// The client took a packet back, or it is over.
     pub fn withdraw(&mut self, now: Duration, id: PacketId) {
         self.now = now.max(self.now);
         match self.packets.get(&id).map(|kept| kept.state) {
@@ -479,7 +479,12 @@
             _ => {
                 losses.add(now, figures.soft * 8);
                 endpoint.cap = 1;
-                lane.note_loss(now, 1.0, figures);
+                let down = figures.thin && outcome == Outcome::NoConnection;
+                let health = lane.health;
+                lane.note_loss(now, if down { LOSSES / 2.0 } else { 1.0 }, figures);
+                if figures.thin && lane.health != health {
+                    lane.bucket = Bucket { tokens: Some(chance), at: now }; // no trials in step
+                }
             }
         }
         call.sent
@@ -559,7 +564,6 @@
         }
     }
 
-    /// The deciding step, once a round after all that happened in it.
     pub fn decide(&mut self, now: Duration, host: &mut impl Host) {
         self.now = now.max(self.now);
         self.end_due(host);
@@ -571,7 +575,6 @@
         self.set_wake(host);
     }
 
-    /// Answers what may not be dispatched again and what has run out of time.
     fn end_due(&mut self, host: &mut impl Host) {
         for (id, wait) in std::mem::take(&mut self.spent) {
             self.end(id, wait, host);
@@ -594,7 +597,7 @@
         for id in std::mem::take(&mut self.idle) {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
             let (now, span) = (self.now, self.figures.soft * 8);
-            let [answers, losses, _] = &mut self.wear[endpoint.kind.0];
+            let [answers, losses, _] = &self.wear[endpoint.kind.0];
             let worn = losses.read(now, span) > answers.read(now, span) * WEAR;
             if worn && self.figures.thin && self.calls.values().all(|call| call.endpoint != id) {
                 host.close_idle(id);
@@ -789,11 +792,9 @@
 
     fn may_go(&self, id: PacketId) -> bool {
         let kept = &self.packets[&id];
-        if kept.refused && self.figures.thin && self.again < 1.0 {
-            return false;
-        }
+        let again = !kept.refused || !self.figures.thin || self.again >= 1.0;
         let turn = kept.packet.key.filter(|_| kept.trade.in_order).and_then(|key| self.turns.get(&key));
-        turn.is_none_or(|t| t.queue.front() == Some(&id) && t.rests_until <= self.now)
+        again && turn.is_none_or(|t| t.queue.front() == Some(&id) && t.rests_until <= self.now)
     }
 
     /// Which held packet goes first. A lane in silence is tried with what may be repeated. Otherwise those
@@ -806,7 +807,6 @@
         (trial, kept.over_share, late, if late { kept.packet.ends } else { kept.soft })
     }
 
-    /// One timer for the earliest thing that can come due without an event.
     fn set_wake(&mut self, host: &mut impl Host) {
         let (now, figures) = (self.now, &self.figures);
         let lanes = self.held.keys().flat_map(|id| &self.destinations[id].lanes);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -540,3 +540,26 @@
         assert_eq!(play.asked.answers.len(), answers, "{senders} senders");
     }
 }
+
+/// amman-dispatch-later, 671 senders: each had lost a call or two, and all came back together.
+#[test]
+fn many_senders_together_do_not_push_over_what_returns() {
+    let mut sent = 0;
+    for seed in 0..40 {
+        let mut play = Play::new(terms(), 1, 0, 4.0);
+        play.sender = Sender::new(Terms { senders: 40, dispatches: 9, ..terms() }, seed);
+        play.list(true, &[line(0, 0, 0, 4.0, true)]);
+        play.take(1, 0, 0, None);
+        for _ in 0..400 {
+            play.after(10);
+            play.all_back(Outcome::NoConnection);
+        }
+        play.take(1, 0, 0, None);
+        for _ in 0..200 {
+            play.after(10);
+            sent += play.out().len();
+            play.all_back(Outcome::Done);
+        }
+    }
+    assert!((1..=16).contains(&sent), "in 2 s four times 4 calls a second fall over: {sent}");
+}
