--- a/src/control.rs
+++ b/src/control.rs
@@ -462,6 +462,7 @@
         self.idle.insert(call.endpoint);
         let [answers, losses, refusals] = &mut self.wear[endpoint.kind.0];
         let (refused, done) = (refusals.read(now, figures.soft * 8), answers.read(now, figures.soft * 8));
+        // The share not refused of this kind's calls, from four on, as each lane alone tells too little.
         let room = if figures.thin { (1.0 - refused / (refused + done + 4.0)).powi(4) } else { 1.0 };
         match outcome {
             Outcome::Done => {
@@ -526,8 +527,7 @@
         let (to, last) = (kept.packet.destination, self.holdable_until(kept));
         let (listed, soon) = (self.listed(to), self.now.saturating_add(kept.trade.soft_limit));
         let destination = self.destinations.entry(to).or_default();
-        // An endpoint may appear within a soft limit; end_due looks again.
-        let until = if listed { last } else { last.min(soon) };
+        let until = if listed { last } else { last.min(soon) }; // an endpoint may appear; end_due looks again
         destination.used = self.now;
         // A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after.
         let lanes: Vec<&Lane> = destination.lanes.iter().map(|lane| &self.lanes[lane]).collect();
