--- a/crates/sailcart-sender/src/config.rs
+++ b/crates/sailcart-sender/src/config.rs
@@ -24,6 +24,8 @@
     pub names: Names,
     pub carriage: Carriage,
     pub bounds: Bounds,
+    /// The file as it was written.
+    pub file: Value,
 }
 
 /// The limits of the machine, shared out.
@@ -35,12 +37,16 @@
     pub idle: usize,
     /// Bytes that the folder may hold.
     pub journal: u64,
+    /// Packets remembered once they are over.
+    pub ended: usize,
 }
 
 /// Descriptors for all but clients and endpoints: standard streams, the poll, signals, the listener, the
 /// journal and its successor, discovery and notices, each perhaps twice while one replaces the other.
 const OWN_SOCKETS: usize = 32;
 const MB: f64 = 1e6;
+/// Bytes for an id that is remembered, and what stands around it.
+const LONG_ID: f64 = 128.0;
 
 /// Where a value may come from beside the file.
 pub type Environment<'a> = &'a dyn Fn(&str) -> Option<String>;
@@ -82,9 +88,28 @@
         names,
         carriage,
         bounds,
+        file: file.clone(),
     })
 }
 
+/// What a running sender takes over of a newer configuration: where discovery is. What the file says of it
+/// anew goes before the environment, which is as old as the process. The rest waits for the next start.
+pub fn moved(old: &Value, new: &Mandate) -> Result<SocketAddr, Fault> {
+    let file = &new.file;
+    let live = |key: &&String| !["discovery", "known", "seed"].contains(&key.as_str());
+    for key in file.as_object().into_iter().flat_map(|file| file.keys()).filter(live) {
+        if file.get(key) != old.get(key) {
+            log::warn!("reload: {key} has changed, code=next_start");
+        }
+    }
+    match file.get("discovery") {
+        Some(text) if old.get("discovery") != Some(text) => {
+            address("discovery", take_text(text, "discovery")?)
+        }
+        _ => Ok(new.discovery),
+    }
+}
+
 fn within(part: &str, fault: Fault) -> Fault {
     format!("{part}: {}", fault.0).into()
 }
@@ -129,13 +154,14 @@
         idle: left / 4,
         // Files are counted as memory.
         journal: disk.min(memory / 4.0) as u64,
+        ended: (memory / 64.0 / LONG_ID) as usize,
     })
 }
 
 /// How a configuration was understood, for a person.
 pub fn summary(mandate: &Mandate) -> String {
     let Mandate { name, listen, discovery, state, terms, bounds, known, .. } = mandate;
-    let Bounds { clients, idle, journal } = bounds;
+    let Bounds { clients, idle, journal, .. } = bounds;
     format!(
         "{name}: listens on {listen}, discovery at {discovery}, state in {}\n\
          {} slots, {} packets held, {} categories, {} kinds, {} endpoints known\n\
--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -24,7 +24,7 @@
 use crate::wire::discovery::{Entry, List};
 
 /// What a client hears of a packet that it hands in.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
     Taken,
     Dismissed(Option<Duration>),
@@ -92,7 +92,7 @@
     ledger: Ledger,
     endpoints: HashMap<String, EndpointId>,
     addresses: Vec<(SocketAddr, usize)>, // and the packets that one call carries at most
-    answers: BTreeMap<PacketId, oneshot::Sender<Answer>>,
+    answers: BTreeMap<PacketId, Vec<oneshot::Sender<Answer>>>, // of its client, and of twins
     out: BTreeMap<PacketId, Rc<Notify>>,
     sending: Vec<(EndpointId, Vec<(PacketId, Duration)>)>, // this round's dispatches
     closing: Vec<(SocketAddr, &'static str)>,
@@ -158,11 +158,10 @@
         let within = &mut *self.within.borrow_mut();
         match within.enter(put) {
             Ok(number) => {
-                within.desk.answers.insert(number, answer);
+                within.desk.answers.entry(number).or_default().push(answer);
                 self.bell.notify_one();
             }
-            // Told to someone who has gone: nothing is lost by it.
-            Err(at_once) => drop(answer.send(at_once)),
+            Err(at_once) => tell(vec![answer], at_once),
         }
         heard
     }
@@ -190,7 +189,7 @@
             log::debug!("packet {} from {}: {outcome:?} after {elapsed:?}", packet.id, call.address);
             sender.outcome(now, id, elapsed, *outcome, *over);
             if *over || *outcome == Outcome::Done {
-                desk.ledger.over(id);
+                desk.ledger.over(id, None);
             } else if let Err(fault) = desk.ledger.came_back(id, may_have_run(*outcome)) {
                 // What stands in the journal is the worse case: the dispatch may have run.
                 log::error!("journal: code=not_written {fault}");
@@ -238,8 +237,8 @@
         if !*stopped || !desk.answers.is_empty() {
             sender.decide(desk.clock.now(), desk);
         }
-        for (_, answer) in std::mem::take(&mut desk.answers) {
-            let _ = answer.send(Answer::Taken);
+        for (_, waiting) in std::mem::take(&mut desk.answers) {
+            tell(waiting, Answer::Taken);
         }
         for (address, code) in std::mem::take(&mut desk.closing) {
             endpoints.close(address, code);
@@ -261,6 +260,10 @@
             // Handed in once more on another connection: it hears what the first would have heard.
             return if desk.answers.contains_key(&number) { Ok(number) } else { Err(Answer::Taken) };
         }
+        // Guards against a packet that goes on after its end under the id of one that is over.
+        if let Some(told) = desk.ledger.ended(put.id) {
+            return Err(told.map_or(Answer::Taken, answer));
+        }
         if *stopped {
             return Err(Answer::Dismissed(desk.retry_after));
         }
@@ -277,6 +280,20 @@
     }
 }
 
+/// Told to some who may have gone: nothing is lost by it.
+fn tell(waiting: Vec<oneshot::Sender<Answer>>, answer: Answer) {
+    for one in waiting {
+        let _ = one.send(answer);
+    }
+}
+
+fn answer(notice: Notice) -> Answer {
+    match notice {
+        Notice::Dismissed(wait) => Answer::Dismissed(wait),
+        Notice::Scrapped => Answer::Scrapped,
+    }
+}
+
 fn may_have_run(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
 }
@@ -367,10 +384,10 @@
 
     /// A packet's end without being delivered: told to its client if that still waits for its first answer,
     /// or else to the platform.
-    fn end(&mut self, id: PacketId, answer: Answer, notice: Notice) {
+    fn end(&mut self, id: PacketId, notice: Notice) {
         if let Some(waiting) = self.answers.remove(&id) {
-            let _ = waiting.send(answer);
-            self.ledger.over(id);
+            tell(waiting, answer(notice));
+            self.ledger.over(id, Some(notice));
         } else {
             self.ledger.owe(id, notice);
         }
@@ -392,11 +409,11 @@
     }
 
     fn dismiss(&mut self, packet: PacketId, retry_after: Option<Duration>) {
-        self.end(packet, Answer::Dismissed(retry_after), Notice::Dismissed(retry_after));
+        self.end(packet, Notice::Dismissed(retry_after));
     }
 
     fn scrap(&mut self, packet: PacketId) {
-        self.end(packet, Answer::Scrapped, Notice::Scrapped);
+        self.end(packet, Notice::Scrapped);
     }
 
     fn close_idle(&mut self, endpoint: EndpointId) {
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -7,36 +7,42 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::clients::Clients;
 use crate::config::Mandate;
 use crate::endpoints::Endpoints;
 use crate::exchange::Exchange;
+use crate::life::reload::{Read, reload};
 use crate::life::{recovery, stop};
 use crate::memory::ledger::Ledger;
 use crate::memory::pool::Pool;
 use crate::platform;
 
 /// Runs a sender on this thread until it is told to end.
-pub fn serve(mandate: Mandate) -> io::Result<()> {
+pub fn serve(mandate: Mandate, read: Read) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(mandate))
+    LocalSet::new().block_on(&runtime, run(mandate, read))
 }
 
-async fn run(mandate: Mandate) -> io::Result<()> {
+async fn run(mandate: Mandate, read: Read) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let hang_up = signal(SignalKind::hangup())?; // from here on it no longer ends the process
     let _lock = lock(&mandate.state).map_err(|e| name("state", e))?;
-    let ledger = Ledger::open(&mandate.state, mandate.bounds.journal).map_err(|e| name("state", e))?;
+    let ledger = Ledger::open(&mandate.state, mandate.bounds.journal, mandate.bounds.ended);
+    let ledger = ledger.map_err(|e| name("state", e))?;
     let (terms, known, bounds) = (mandate.terms, mandate.known, mandate.bounds);
     // Before the peer, by more than a call takes to get there: one that crosses its close is lost.
     let pool = Pool::new(mandate.carriage.idle_close * 7 / 8, bounds.idle);
     let endpoints = Rc::new(Endpoints::new(pool, terms.connect_time_out));
     let exchange = Rc::new(Exchange::new(terms, mandate.seed, mandate.names, ledger));
     recovery::recover(&exchange, &known);
-    spawn_local(platform::watch(mandate.discovery, known.version, exchange.clone()));
-    spawn_local(platform::notify(mandate.discovery, exchange.clone()));
+    let (moves, place) = watch::channel(mandate.discovery);
+    spawn_local(reload(hang_up, mandate.file, read, moves));
+    spawn_local(platform::follow(place.clone(), known.version, exchange.clone()));
+    spawn_local(platform::notify(place, exchange.clone()));
     spawn_local(endpoints.clone().sweep());
     spawn_local(exchange.clone().rounds(mandate.carriage.round, endpoints.clone()));
     let listener = TcpListener::bind(mandate.listen).await.map_err(|e| name("listen", e))?;
--- a/crates/sailcart-sender/src/main.rs
+++ b/crates/sailcart-sender/src/main.rs
@@ -41,11 +41,14 @@
             other => return Err(format!("{}\n{USAGE}", other.unexpected())),
         }
     }
-    let read = |file| config::read(file, &|name| std::env::var(name).ok()).map_err(|fault| fault.0);
+    let read = move || config::read(file.clone(), &|name| std::env::var(name).ok());
     match command.as_deref() {
-        Some("serve") => life::start::serve(read(file)?).map_err(|fault| fault.to_string()),
+        Some("serve") => {
+            let mandate = read().map_err(|fault| fault.0)?;
+            life::start::serve(mandate, Box::new(read)).map_err(|fault| fault.to_string())
+        }
         Some("check") => {
-            println!("{}", config::summary(&read(file)?));
+            println!("{}", config::summary(&read().map_err(|fault| fault.0)?));
             Ok(())
         }
         Some("version") => {
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -1,6 +1,6 @@
 //! Packets taken on and notices owed. Whatever must outlive the process is in the journal before it counts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -16,11 +16,31 @@
     size: u64,
 }
 
+/// The last packets that are over, and what their clients were told at once where they were not taken on.
+#[derive(Default)]
+struct Ended {
+    told: HashMap<Box<str>, Option<Notice>>,
+    order: VecDeque<Box<str>>,
+    most: usize,
+}
+
+impl Ended {
+    fn note(&mut self, id: &str, told: Option<Notice>) {
+        if self.told.insert(id.into(), told).is_none() {
+            self.order.push_back(id.into());
+        }
+        while self.order.len() > self.most {
+            self.order.pop_front().and_then(|first| self.told.remove(&first));
+        }
+    }
+}
+
 pub struct Ledger {
     journal: Journal,
     kept: BTreeMap<PacketId, Kept>,
     owed: BTreeMap<PacketId, (Box<str>, Notice)>,
     numbers: HashMap<Box<str>, PacketId>,
+    ended: Ended,
     next: u64,
     /// Bytes that the records of all packets and notices take, with room for what they may still need.
     live: u64,
@@ -30,10 +50,12 @@
 impl Ledger {
     /// `room` is all that the folder may hold. The journal is written anew at half of it, and of what it must
     /// carry over nothing is taken on beyond a quarter, so that both files fit while one replaces the other.
-    pub fn open(folder: &Path, room: u64) -> io::Result<Self> {
+    /// So many `ended` packets are remembered.
+    pub fn open(folder: &Path, room: u64, ended: usize) -> io::Result<Self> {
         let (journal, records) = Journal::open(folder, room / 2)?;
         let (kept, owed) = (BTreeMap::new(), BTreeMap::new());
-        let mut ledger = Ledger { journal, kept, owed, numbers: HashMap::new(), next: 0, live: 0, room };
+        let (numbers, ended) = (HashMap::new(), Ended { most: ended, ..Ended::default() });
+        let mut ledger = Ledger { journal, kept, owed, numbers, ended, next: 0, live: 0, room };
         for record in records {
             ledger.replay(record);
         }
@@ -47,11 +69,11 @@
                 self.kept.entry(id).and_modify(|kept| kept.stand = stand);
             }
             Record::Owed(id, name, notice) => {
-                self.leave(id);
+                self.leave(id, None);
                 self.enter_owed(id, name, notice);
             }
             Record::Over(id) => {
-                self.leave(id);
+                self.leave(id, None);
                 self.leave_owed(id);
             }
         }
@@ -66,8 +88,9 @@
         self.kept.insert(kept.packet.number, kept);
     }
 
-    fn leave(&mut self, id: PacketId) -> Option<Kept> {
+    fn leave(&mut self, id: PacketId, told: Option<Notice>) -> Option<Kept> {
         let kept = self.kept.remove(&id)?;
+        self.ended.note(&kept.packet.id, told);
         self.live -= kept.size;
         self.numbers.remove(&kept.packet.id);
         Some(kept)
@@ -103,6 +126,11 @@
         self.numbers.get(id).copied()
     }
 
+    /// Of a packet that is over and still remembered, what its client was told in place of being taken on.
+    pub fn ended(&self, id: &str) -> Option<Option<Notice>> {
+        self.ended.told.get(id).copied()
+    }
+
     pub fn packet(&self, id: PacketId) -> Option<&Rc<Packet>> {
         self.kept.get(&id).map(|kept| &kept.packet)
     }
@@ -149,9 +177,9 @@
         Ok(())
     }
 
-    /// The packet is over, and nothing more is owed for it.
-    pub fn over(&mut self, id: PacketId) {
-        if self.leave(id).is_some() {
+    /// The packet is over, and nothing more is owed for it; perhaps its client was told of its end at once.
+    pub fn over(&mut self, id: PacketId, told: Option<Notice>) {
+        if self.leave(id, told).is_some() {
             let written = self.write(&Record::Over(id));
             warn(written);
         }
@@ -159,7 +187,7 @@
 
     /// The packet is over, and a notice is owed.
     pub fn owe(&mut self, id: PacketId, notice: Notice) {
-        let Some(kept) = self.leave(id) else { return };
+        let Some(kept) = self.leave(id, None) else { return };
         let name = kept.packet.id.clone();
         let written = self.write(&Record::Owed(id, name.clone(), notice));
         warn(written);
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -8,6 +8,7 @@
 use sailcart::PacketId;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use crate::caller::{self, Reply};
@@ -22,19 +23,42 @@
 /// The pause before a broken connection is opened again.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// Where the platform is: a reload may move it.
+pub type Place = watch::Receiver<SocketAddr>;
+
 /// A connection to the platform, opened when there is something to say.
 struct Wire {
-    address: SocketAddr,
+    place: Place,
     stream: Option<TcpStream>,
 }
 
 impl Wire {
-    /// One call and its answer within a time. A connection on which it did not come whole is closed.
+    fn address(&self) -> SocketAddr {
+        *self.place.borrow()
+    }
+
+    /// One call and its answer. Guards against waiting at an address that has been left: what is out there ends
+    /// at once, as interrupted, and the next call goes to the new one.
     async fn call(&mut self, bytes: &[u8], within: Duration, most: usize) -> io::Result<Reply> {
+        let (mut place, left) = (self.place.clone(), self.address());
+        tokio::select! {
+            biased;
+            Ok(()) = place.changed() => {
+                self.place.mark_unchanged();
+                self.stream = None;
+                log::info!("platform {left}: connection ended, code=moved");
+                Err(io::ErrorKind::Interrupted.into())
+            }
+            reply = self.turn(bytes, within, most) => reply,
+        }
+    }
+
+    /// One call and its answer within a time. A connection on which it did not come whole is closed.
+    async fn turn(&mut self, bytes: &[u8], within: Duration, most: usize) -> io::Result<Reply> {
         let mut reply = Reply::default();
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
-            None => timeout(ANSWER, TcpStream::connect(self.address)).await??,
+            None => timeout(ANSWER, TcpStream::connect(self.address())).await??,
         };
         let turn = async {
             stream.write_all(bytes).await?;
@@ -44,19 +68,20 @@
         if reply.keeps() {
             self.stream = Some(stream);
         } else {
-            log::info!("platform {}: connection ended, code=answer_closes", self.address);
+            log::info!("platform {}: connection ended, code=answer_closes", self.address());
         }
         Ok(reply)
     }
 }
 
-/// Follows the destination list from a version on.
-pub async fn watch(address: SocketAddr, mut version: u64, exchange: Rc<Exchange>) {
-    let mut wire = Wire { address, stream: None };
-    let host = address.to_string();
+/// Follows the destination list from a version on. One that moved may count otherwise: its whole list is read.
+pub async fn follow(place: Place, version: u64, exchange: Rc<Exchange>) {
+    let mut wire = Wire { place, stream: None };
+    let mut version = Some(version);
     let mut told = None; // one line for an outage, not one for each try
     loop {
-        let call = http::get(&host, &discovery::watch(version, HOLD));
+        let path = version.map_or(discovery::WHOLE.to_owned(), |version| discovery::watch(version, HOLD));
+        let call = http::get(&wire.address().to_string(), &path);
         match wire.call(&call, HOLD + ANSWER, discovery::MOST_LIST).await.and_then(understand) {
             Ok(list) => {
                 if list.whole || !list.entries.is_empty() {
@@ -64,8 +89,9 @@
                 }
                 // Also when nothing changed: what left the list long ago is forgotten on such news.
                 exchange.list(&list);
-                (version, told) = (list.version, None);
+                (version, told) = (Some(list.version), None);
             }
+            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => version = None,
             Err(fault) => {
                 if told.replace(fault.kind()) != Some(fault.kind()) {
                     log::warn!("discovery: code=no_list {fault}");
@@ -85,9 +111,8 @@
 }
 
 /// Tells what notices are owed, again and again until the platform has them.
-pub async fn notify(address: SocketAddr, exchange: Rc<Exchange>) {
-    let mut wire = Wire { address, stream: None };
-    let host = address.to_string();
+pub async fn notify(place: Place, exchange: Rc<Exchange>) {
+    let mut wire = Wire { place, stream: None };
     let mut told = None; // as above
     loop {
         let (ids, body) = exchange.owed(lines);
@@ -95,7 +120,7 @@
             exchange.notices.notified().await;
             continue;
         }
-        let call = http::post(&host, notice::PATH, "", body.as_bytes());
+        let call = http::post(&wire.address().to_string(), notice::PATH, "", body.as_bytes());
         let reply = wire.call(&call, ANSWER, MOST_BODY).await;
         match reply.map(|reply| reply.head.map_or(0, |head| head.status)) {
             Ok(204) => {
@@ -110,6 +135,7 @@
                 log::warn!("notices: code=answer_{status}");
                 sleep(PAUSE).await;
             }
+            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
             Err(fault) => {
                 if told.replace(fault.kind()) != Some(fault.kind()) {
                     log::warn!("notices: code=not_told {fault}");
--- a/crates/sailcart-sender/tests/journal.rs
+++ b/crates/sailcart-sender/tests/journal.rs
@@ -19,7 +19,7 @@
 }
 
 fn open(folder: &Path) -> Ledger {
-    Ledger::open(folder, ROOM).expect("a journal")
+    Ledger::open(folder, ROOM, 4).expect("a journal")
 }
 
 fn packet(ledger: &Ledger, id: &str, bytes: usize) -> Packet {
@@ -59,7 +59,7 @@
     ledger.came_back(b, true).expect("room");
     ledger.sends(b, at(9)).expect("room");
     ledger.came_back(c, false).expect("room");
-    ledger.over(d);
+    ledger.over(d, None);
     ledger.owe(e, Notice::Dismissed(Some(Duration::from_millis(500))));
     let before = ledger.packet(a).expect("kept").clone();
     drop(ledger);
@@ -135,7 +135,7 @@
     for n in 0..2000 {
         let id = take(&mut ledger, &format!("{n}"));
         ledger.sends(id, Unix(Duration::from_secs(n))).expect("room");
-        ledger.over(id);
+        ledger.over(id, None);
         let bytes = fs::metadata(folder.join("journal")).expect("a journal").len();
         assert!(bytes <= ROOM / 2, "{bytes} bytes");
     }
@@ -156,6 +156,6 @@
     assert_eq!(taken, 3, "a quarter of the room");
     let first = ledger.unended()[0].number;
     ledger.sends(first, Unix(Duration::ZERO)).expect("what was taken can go");
-    ledger.over(first);
+    ledger.over(first, None);
     assert!(ledger.take(packet(&ledger, "next", 4000)).is_ok());
 }
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -25,6 +25,7 @@
     config: String,
     listen: SocketAddr,
     sender: Option<Child>,
+    discovery: SocketAddr,
     platform: Arc<Platform>,
     endpoint: SocketAddr,
     /// Ids of the packets that came, in order.
@@ -58,7 +59,7 @@
             .replace("127.0.0.1:6379", &listen.to_string())
             .replace("127.0.0.1:8500", &discovery.to_string())
             .replace("examples/state", state);
-        let mut world = World { folder, config, listen, sender: None, platform, endpoint, came };
+        let mut world = World { folder, config, listen, sender: None, discovery, platform, endpoint, came };
         world.start();
         world
     }
@@ -286,6 +287,55 @@
     world.until("the call", |world| world.came() == ["a1"]);
 }
 
+/// SIGHUP: a faulty file changes nothing; a new address of discovery is followed at once, also by what is out
+/// at the old one, and notices go there.
+#[test]
+fn discovery_moves_at_sighup() {
+    let mut world = World::new("moved", |_, _| None);
+    let (place, platform) = Platform::start("127.0.0.1:0");
+    platform.list(&[entry("f", world.endpoint, 8, "Ready")]);
+    let pid = world.sender.as_ref().expect("a sender").id().to_string();
+    let file = world.folder.join("config.json");
+    let reload = |text: &str| {
+        fs::write(&file, text).expect("a configuration");
+        assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
+    };
+    reload(&world.config.replace(r#""call_slots": 8"#, r#""call_slots": 0"#));
+    let kept = "the old configuration stays, code=faulty settings: expected more than 0 in call_slots";
+    world.until("the fault", |world| world.log().contains(kept));
+    world.config = world.config.replace(&world.discovery.to_string(), &place.to_string());
+    world.platform.deaf.store(true, Ordering::Relaxed);
+    let start = Instant::now();
+    reload(&world.config);
+    world.until("the new list", |world| world.log().contains("discovery: version 1, 1 entries\n"));
+    assert!(start.elapsed() < Duration::from_secs(1), "a watch held at the old address is not waited for");
+    let fields = "c=notice,t=acme,d=700,dest=8";
+    assert_eq!(put(world.listen, "a1", fields, "").expect("an answer"), "+OK");
+    world.until("the notice", |_| !platform.notices.lock().expect("no panic").is_empty());
+    assert_eq!(world.notices().len(), 0);
+}
+
+/// An id that comes again hears what its packet's client hears; the packet itself goes on as if it had not.
+#[test]
+fn a_twin_changes_nothing_for_its_packet() {
+    let world = World::new("twin", |_, _| answer("200 OK", "", ""));
+    let words = ["MSG.PUT", "0", "a1", "c=notice,t=acme,d=8000,dest=7", ""];
+    let bulk = |word: &str| format!("${}\r\n{word}\r\n", word.len());
+    let put = format!("*5\r\n{}", words.map(bulk).concat());
+    let mut twins: Vec<_> = (0..4).map(|_| TcpStream::connect(world.listen).expect("a connection")).collect();
+    twins.iter_mut().for_each(|twin| twin.write_all(put.as_bytes()).expect("room"));
+    for twin in &mut twins {
+        let mut word = [0; 5];
+        twin.read_exact(&mut word).expect("an answer");
+        assert_eq!(&word, b"+OK\r\n");
+    }
+    world.until("the call", |world| world.came() == ["a1"]);
+    sleep(Duration::from_millis(100));
+    assert_eq!(world.put("a1"), "+OK", "also once it is over");
+    sleep(Duration::from_millis(100));
+    assert_eq!(world.came(), ["a1"]);
+}
+
 /// What a client sends may be anything: it hears what was wrong, and others are not disturbed.
 #[test]
 fn bad_input_ends_its_connection_with_a_word() {
