--- a/crates/sailcart-sender/src/caller.rs
+++ b/crates/sailcart-sender/src/caller.rs
@@ -1,16 +1,20 @@
 //! One HTTP answer read from a socket.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::wire::http::{self, Extent, Head};
 
 /// An answer, as far as it has come.
 #[derive(Default)]
 pub struct Reply {
+    /// As its first line tells.
+    pub status: Option<u16>,
     pub head: Option<Head>,
     pub body: Vec<u8>,
     /// It came whole.
@@ -24,34 +28,57 @@
     }
 }
 
-/// Reads one answer, with a body of a certain size at most. What has come so far stands in `reply`, also when
-/// this fails or is given up.
-pub async fn read(stream: &mut TcpStream, most: usize, reply: &mut Reply) -> io::Result<()> {
+/// Reads one answer, with a body of a certain size at most, which has `rest` to come whole from its first byte on.
+/// What has come so far stands in `reply`, also when this fails or is given up.
+pub async fn read(stream: &mut TcpStream, most: usize, rest: Duration, reply: &mut Reply) -> io::Result<()> {
     let mut buffer = BytesMut::new();
-    let extent = loop {
-        match http::head(&buffer).map_err(malformed)? {
-            // The answer proper is yet to come.
-            Some((head, used)) if head.status < 200 => buffer.advance(used),
+    loop {
+        if buffer.is_empty() {
+            more(stream, &mut buffer).await?;
+        }
+        let whole = timeout(rest, one(stream, &mut buffer, most, reply)).await;
+        // Those below 200 stand in front, the answer proper is yet to come.
+        if whole.unwrap_or_else(|_| Err(malformed("slow")))? >= 200 {
+            // Bytes that nobody asked for would be taken for the next answer.
+            reply.whole = buffer.is_empty();
+            return Ok(());
+        }
+    }
+}
+
+/// An answer's status, once it has come whole.
+async fn one(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    most: usize,
+    reply: &mut Reply,
+) -> io::Result<u16> {
+    let head = loop {
+        if let Some((status, _)) = http::status(buffer).map_err(malformed)? {
+            reply.status = Some(status);
+        }
+        match http::head(buffer).map_err(malformed)? {
             Some((head, used)) => {
                 buffer.advance(used);
-                let extent = head.extent;
-                reply.head = Some(head);
-                break extent;
+                break head;
             }
-            None => more(stream, &mut buffer).await?,
+            None => more(stream, buffer).await?,
         }
     };
+    let (status, extent) = (head.status, head.extent);
+    reply.head = Some(head);
     match extent {
+        Extent::Unreadable => return Err(malformed("expected a length")),
         Extent::Length(length) if length > most => return Err(malformed("too large")),
         Extent::Length(length) => {
             while buffer.len() < length {
-                more(stream, &mut buffer).await?;
+                more(stream, buffer).await?;
             }
             reply.body = buffer.split_to(length).to_vec();
         }
-        Extent::Chunks => chunks(stream, &mut buffer, most, &mut reply.body).await?,
+        Extent::Chunks => chunks(stream, buffer, most, &mut reply.body).await?,
         Extent::Rest => {
-            while stream.read_buf(&mut buffer).await? > 0 {
+            while stream.read_buf(buffer).await? > 0 {
                 if buffer.len() > most {
                     return Err(malformed("too large"));
                 }
@@ -59,9 +86,7 @@
             reply.body = buffer.split().to_vec();
         }
     }
-    // Bytes that nobody asked for would be taken for the next answer.
-    reply.whole = buffer.is_empty();
-    Ok(())
+    Ok(status)
 }
 
 async fn chunks(
--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: connections accepted within bounds, commands read, answers written.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 use crate::exchange::{Answer, Exchange};
@@ -25,8 +26,21 @@
 /// How long the rest of a faulty client's input is read, so that it sees why its connection ends.
 const LINGER: Duration = Duration::from_millis(100);
 
+/// Commands of one connection that wait for their answers at most; the rest waits to be read.
+const MOST_PENDING: usize = 64;
+/// A client that has something to say says it by then; until then its connection is not closed for others.
+const FRESH: Duration = Duration::from_millis(200);
+/// How long one idle connection is waited for to make room before another is tried.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Why a connection ends; it does not end well or badly.
+type Ended = Result<std::convert::Infallible, &'static str>;
+
 /// An open connection, as the others see it.
 struct Line {
+    accepted: Instant,
+    /// Something has come on it.
+    spoke: Cell<bool>,
     idle_since: Cell<Option<Instant>>,
     /// When the command that is coming in began to come.
     begun: Cell<Option<Instant>>,
@@ -42,6 +56,24 @@
     stopping: Cell<bool>,
 }
 
+/// Which idle connections give way first.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    Silent,
+    Used,
+    Fresh, // its first packet may be on its way, and a close would fail that
+}
+
+impl Line {
+    fn standing(&self) -> Standing {
+        match self.spoke.get() {
+            true => Standing::Used,
+            false if self.accepted.elapsed() < FRESH => Standing::Fresh,
+            false => Standing::Silent,
+        }
+    }
+}
+
 impl Clients {
     pub fn new(exchange: Rc<Exchange>, most: usize) -> Rc<Self> {
         let (lines, next) = (RefCell::default(), Cell::new(0));
@@ -65,16 +97,16 @@
         }
     }
 
-    /// Guards against more connections than descriptors: the one that has been idle the longest gives way;
-    /// where none is idle, new ones wait to be accepted.
+    /// Guards against more connections than descriptors, and against silent ones that crowd out the usual: those
+    /// go first, then the one that has been idle the longest. Where none is idle, new ones wait to be accepted.
     async fn make_room(&self) {
         while self.lines.borrow().len() >= self.most {
             let lines = self.lines.borrow().values().cloned().collect::<Vec<_>>();
             let idle = lines.iter().filter(|line| line.idle_since.get().is_some());
-            if let Some(line) = idle.min_by_key(|line| line.idle_since.get()) {
+            if let Some(line) = idle.min_by_key(|line| (line.standing(), line.idle_since.get())) {
                 line.hang_up.notify_one();
             }
-            self.left.notified().await;
+            let _ = timeout(LOOK, self.left.notified()).await; // a command may have come on it meanwhile
         }
     }
 
@@ -85,8 +117,10 @@
     }
 
     fn enter(&self) -> (u64, Rc<Line>) {
-        let idle_since = Cell::new(Some(Instant::now()));
-        let line = Rc::new(Line { idle_since, begun: Cell::new(None), hang_up: Notify::new() });
+        let accepted = Instant::now();
+        let (spoke, idle_since) = (Cell::new(false), Cell::new(Some(accepted)));
+        let (begun, hang_up) = (Cell::new(None), Notify::new());
+        let line = Rc::new(Line { accepted, spoke, idle_since, begun, hang_up });
         let number = self.next.replace(self.next.get() + 1);
         self.lines.borrow_mut().insert(number, line.clone());
         (number, line)
@@ -95,77 +129,108 @@
     async fn serve(self: Rc<Self>, mut stream: TcpStream, peer: SocketAddr, number: u64, line: Rc<Line>) {
         let _ = stream.set_nodelay(true);
         let mut answered = 0u64;
-        let code = self.talk(&mut stream, &line, &mut answered).await;
+        let Err(code) = self.talk(&mut stream, &line, &mut answered).await;
         drop(stream);
         self.lines.borrow_mut().remove(&number);
         self.left.notify_one();
         log::info!("client {peer}: connection ended, code={code} answers={answered}");
     }
 
-    /// Speaks with one client until its connection ends; tells why it did.
-    async fn talk(&self, stream: &mut TcpStream, line: &Line, answered: &mut u64) -> &'static str {
+    /// Speaks with one client until its connection ends; tells why it did. Commands are read on while others wait
+    /// for their answers, which go out in the same order.
+    async fn talk(&self, stream: &mut TcpStream, line: &Line, answered: &mut u64) -> Ended {
         let mut buffer = BytesMut::with_capacity(USUAL);
+        let mut pending = VecDeque::new();
         loop {
-            let answer = match resp::command(&buffer) {
-                Ok(Some((Command::Faulty(words), _))) => return refuse(stream, words, "malformed").await,
+            let unreadable = self.understand(line, &mut buffer, &mut pending);
+            if let (Some((words, code)), true) = (unreadable, pending.is_empty()) {
+                return refuse(stream, words, code).await;
+            }
+            let reads = unreadable.is_none() && pending.len() < MOST_PENDING;
+            let open = !pending.is_empty();
+            let read = tokio::select! {
+                answer = first(&mut pending), if open => Ok(Some(answer)),
+                read = self.more(stream, line, &mut buffer, open), if reads => read.map(|()| None),
+            };
+            match read {
+                Ok(None) => {}
+                Ok(Some(answer)) => write(stream, answer, &mut pending, answered).await?,
+                Err(code) => {
+                    // A client may end its side as soon as it has said all: it is answered all the same.
+                    while !pending.is_empty() {
+                        let answer = first(&mut pending).await;
+                        write(stream, answer, &mut pending, answered).await?;
+                    }
+                    return match code {
+                        "slow" | "cut" => refuse(stream, code, code).await,
+                        code => Err(code),
+                    };
+                }
+            }
+        }
+    }
+
+    /// Begins all commands that have come whole. Tells what is wrong with the input and the code for it, if it
+    /// cannot be read on.
+    fn understand(
+        &self,
+        line: &Line,
+        buffer: &mut BytesMut,
+        pending: &mut VecDeque<Begun>,
+    ) -> Option<(&'static str, &'static str)> {
+        while pending.len() < MOST_PENDING {
+            match resp::command(buffer) {
+                Ok(Some((Command::Faulty(words), _))) => return Some((words, "malformed")),
                 Ok(Some((command, used))) => {
                     line.idle_since.set(None);
                     line.begun.set(None);
-                    let answer = self.begin(&command);
+                    pending.push_back(self.begin(&command));
                     buffer.advance(used);
-                    answer.finish().await
                 }
-                Ok(None) if buffer.len() > resp::MOST_COMMAND => {
-                    return refuse(stream, "too large", "oversized").await;
-                }
-                Ok(None) => match self.more(stream, line, &mut buffer).await {
-                    Ok(()) => continue,
-                    Err(code @ ("slow" | "cut")) => return refuse(stream, code, code).await,
-                    Err(code) => return code,
-                },
-                Err("too large") => return refuse(stream, "too large", "oversized").await,
-                Err(words) => return refuse(stream, words, "malformed").await,
-            };
-            match timeout(SLOW, stream.write_all(&answer)).await {
-                Ok(Ok(())) => *answered += 1,
-                Ok(Err(_)) => return "reset",
-                Err(_) => return "slow",
+                Ok(None) if buffer.len() <= resp::MOST_COMMAND => return None,
+                Ok(None) | Err("too large") => return Some(("too large", "oversized")),
+                Err(words) => return Some((words, "malformed")),
             }
         }
+        None
     }
 
-    /// Reads on. Only between commands does a connection count as idle and may be ended from this side.
+    /// Reads on. Only where no command has begun or waits for its answer does a connection count as idle and may
+    /// be ended from this side.
     async fn more(
         &self,
         stream: &mut TcpStream,
         line: &Line,
         buffer: &mut BytesMut,
+        open: bool,
     ) -> Result<(), &'static str> {
         let begun = !buffer.is_empty();
         // From its first byte on, so that a client that dribbles holds its place no longer than others.
         let since = line.begun.get().unwrap_or_else(Instant::now);
         line.begun.set(begun.then_some(since));
-        if begun {
-            line.idle_since.set(None);
-        } else {
-            line.idle_since.set(Some(Instant::now()));
-            if buffer.capacity() > ROOMY {
-                *buffer = BytesMut::with_capacity(USUAL); // hundreds of idle clients keep no large buffers
-            }
+        let idle = !begun && !open;
+        line.idle_since.set(idle.then(Instant::now));
+        if idle && buffer.capacity() > ROOMY {
+            *buffer = BytesMut::with_capacity(USUAL); // hundreds of idle clients keep no large buffers
         }
         let hang_up = async {
             if !self.stopping.get() {
                 line.hang_up.notified().await;
             }
+            // What has come by now is read first.
+            yield_now().await;
         };
+        let silent = idle && !line.spoke.get();
         let read = tokio::select! {
             biased;
             read = stream.read_buf(buffer) => read,
-            () = hang_up, if !begun => {
+            () = hang_up, if idle => {
                 return Err(if self.stopping.get() { "stopping" } else { "evicted" });
             }
             () = sleep_until((since + SLOW).into()), if begun => return Err("slow"),
+            () = sleep_until((line.accepted + SLOW).into()), if silent => return Err("silent"),
         };
+        line.spoke.set(true);
         match read {
             Ok(0) if begun => Err("cut"),
             Ok(0) => Err("closed"),
@@ -191,9 +256,10 @@
 }
 
 impl Begun {
-    async fn finish(self) -> Vec<u8> {
+    /// May be given up and called again until it has told the answer.
+    async fn finish(&mut self) -> Vec<u8> {
         let answer = match self {
-            Begun::Done(answer) => return answer,
+            Begun::Done(answer) => return std::mem::take(answer),
             Begun::Taking(answer) => answer.await,
         };
         match answer {
@@ -206,13 +272,41 @@
     }
 }
 
+/// The answer that is due next. This may be given up and called again until it has told it.
+async fn first(pending: &mut VecDeque<Begun>) -> Vec<u8> {
+    let Some(begun) = pending.front_mut() else { return Vec::new() };
+    let answer = begun.finish().await;
+    pending.pop_front();
+    answer
+}
+
+/// Writes an answer, and with it those behind it that are known by now.
+async fn write(
+    stream: &mut TcpStream,
+    mut answer: Vec<u8>,
+    pending: &mut VecDeque<Begun>,
+    answered: &mut u64,
+) -> Result<(), &'static str> {
+    *answered += 1;
+    while let Some(Begun::Done(next)) = pending.front() {
+        answer.extend_from_slice(next);
+        pending.pop_front();
+        *answered += 1;
+    }
+    match timeout(SLOW, stream.write_all(&answer)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err("reset"),
+        Err(_) => Err("slow"),
+    }
+}
+
 fn unknown(what: &str) -> Vec<u8> {
     log::warn!("clients: code=unknown_{what}");
     resp::error(&format!("unknown {what}"))
 }
 
 /// Tells a client why its connection ends, and reads on for a moment lest the answer be lost with it.
-async fn refuse(stream: &mut TcpStream, words: &str, code: &'static str) -> &'static str {
+async fn refuse(stream: &mut TcpStream, words: &str, code: &'static str) -> Ended {
     let end = Instant::now() + LINGER;
     let _ = timeout_at(end.into(), async {
         stream.write_all(&resp::error(words)).await?;
@@ -221,5 +315,5 @@
         io::Result::Ok(())
     })
     .await;
-    code
+    Err(code)
 }
--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -2,11 +2,10 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sailcart::Outcome;
+use sailcart::{EndpointId, Outcome};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout_at};
@@ -17,6 +16,9 @@
 use crate::wire::MOST_BODY;
 use crate::wire::call::{self, Ending, Parcel};
 
+/// How long the rest of an answer may take once it has begun to come.
+const REST: Duration = Duration::from_millis(250);
+
 pub struct Endpoints {
     pool: RefCell<Pool>,
     connect_time_out: Duration,
@@ -28,8 +30,8 @@
     }
 
     /// Closes an endpoint's idle connections.
-    pub fn close(&self, address: SocketAddr, code: &str) {
-        self.pool.borrow_mut().close(address, code);
+    pub fn close(&self, endpoint: EndpointId, code: &str) {
+        self.pool.borrow_mut().close(endpoint, code);
     }
 
     pub fn close_all(&self, code: &str) {
@@ -46,19 +48,23 @@
 
     /// Carries a call out. Its connection has ended, or is idle again, before its outcome is told.
     pub async fn carry(self: Rc<Self>, call: Call, exchange: Rc<Exchange>) {
-        let endings = match self.connect(&call).await {
-            None => alike(&call, Outcome::NoConnection),
-            Some(stream) if !exchange.sends(&call) => {
-                self.pool.borrow_mut().put(call.address, stream);
-                alike(&call, Outcome::NoSlot)
-            }
-            Some(stream) => self.speak(&call, stream).await,
+        let (endings, keeps) = match self.connect(&call).await {
+            None => (alike(&call, Outcome::NoConnection), None),
+            Some(stream) if !exchange.sends(&call) => (alike(&call, Outcome::NoSlot), Some(stream)),
+            Some(stream) => speak(&call, stream).await,
         };
+        match keeps {
+            Some(stream) if exchange.lists(call.endpoint) => {
+                self.pool.borrow_mut().put(call.endpoint, call.address, stream);
+            }
+            Some(_) => ended(call.address, "unlisted"),
+            None => {}
+        }
         exchange.came_back(&call, &endings);
     }
 
     async fn connect(&self, call: &Call) -> Option<TcpStream> {
-        let idle = self.pool.borrow_mut().take(call.address);
+        let idle = self.pool.borrow_mut().take(call.endpoint);
         if idle.is_some() {
             return idle;
         }
@@ -79,41 +85,42 @@
             }
         }
     }
+}
 
-    async fn speak(&self, call: &Call, mut stream: TcpStream) -> Vec<Ending> {
-        let end = call.start + call.time_out;
-        let budget = end.saturating_duration_since(Instant::now());
-        let parcels: Vec<Parcel> = call.packets.iter().map(|packet| parcel(packet)).collect();
-        let bytes = call::write(&call.address.to_string(), &parcels, budget);
-        let (mut written, mut reply) = (false, Reply::default());
-        let spoken = tokio::select! {
-            spoken = timeout_at(end.into(), turn(&mut stream, &bytes, &mut written, &mut reply)) => {
-                spoken.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-            }
-            () = call.called_off.notified() => Err(io::ErrorKind::Interrupted.into()),
-        };
-        let ids: Vec<&str> = call.packets.iter().map(|packet| &*packet.id).collect();
-        let endings = match (&reply.head, &spoken) {
-            // The first line tells all, whatever became of the rest.
-            (Some(head), Err(_)) if call::told_by_head(head, ids.len()) => call::endings(head, &[], &ids),
-            (Some(head), Ok(())) => call::endings(head, &reply.body, &ids),
-            (_, Err(fault)) => alike(call, broken(written, fault)),
-            (None, Ok(())) => alike(call, Outcome::Reset),
-        };
-        match spoken {
-            Ok(()) if reply.keeps() => self.pool.borrow_mut().put(call.address, stream),
-            Ok(()) => ended(call.address, "answer_closes"),
-            Err(fault) => ended(call.address, code(&fault)),
+/// One call and what came of it, with its connection if another call can go there.
+async fn speak(call: &Call, mut stream: TcpStream) -> (Vec<Ending>, Option<TcpStream>) {
+    let end = call.start + call.time_out;
+    let budget = end.saturating_duration_since(Instant::now());
+    let parcels: Vec<Parcel> = call.packets.iter().map(|packet| parcel(packet)).collect();
+    let bytes = call::write(&call.address.to_string(), &parcels, budget);
+    let (mut written, mut reply) = (false, Reply::default());
+    let spoken = tokio::select! {
+        spoken = timeout_at(end.into(), turn(&mut stream, &bytes, &mut written, &mut reply)) => {
+            spoken.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         }
-        endings
+        () = call.called_off.notified() => Err(io::ErrorKind::Interrupted.into()),
+    };
+    let ids: Vec<&str> = call.packets.iter().map(|packet| &*packet.id).collect();
+    let endings = match (&reply.head, &spoken) {
+        // Guards against a packet that is sent on although its answer came: the rest of it may be spoilt.
+        _ if call::settled(reply.status, ids.len()) => vec![(Outcome::Done, true)],
+        (Some(head), Ok(())) => call::endings(head, &reply.body, &ids),
+        (_, Err(fault)) => alike(call, broken(written, fault)),
+        (None, Ok(())) => alike(call, Outcome::Reset),
+    };
+    match spoken {
+        Ok(()) if reply.keeps() => return (endings, Some(stream)),
+        Ok(()) => ended(call.address, "answer_closes"),
+        Err(fault) => ended(call.address, code(&fault)),
     }
+    (endings, None)
 }
 
 /// One call and its answer. Nothing sends it again.
 async fn turn(stream: &mut TcpStream, bytes: &[u8], written: &mut bool, reply: &mut Reply) -> io::Result<()> {
     stream.write_all(bytes).await?;
     *written = true;
-    caller::read(stream, MOST_BODY, reply).await
+    caller::read(stream, MOST_BODY, REST, reply).await
 }
 
 /// How a call ended that got no answer: before its last byte was written it never began.
@@ -122,6 +129,7 @@
         _ if !written => Outcome::NoConnection,
         io::ErrorKind::TimedOut => Outcome::TimedOut,
         io::ErrorKind::Interrupted => Outcome::Cancelled,
+        io::ErrorKind::InvalidData => Outcome::Error, // spoilt: it was answered, so it may have run
         _ => Outcome::Reset,
     }
 }
--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -2,7 +2,7 @@
 //! decides. What comes in is told to the sender at once; a round follows soon, and its answers go out.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,6 +35,7 @@
 
 /// A call on its way to an endpoint.
 pub struct Call {
+    pub endpoint: EndpointId,
     pub address: SocketAddr,
     pub packets: Vec<Rc<Packet>>,
     pub time_out: Duration,
@@ -69,6 +70,17 @@
     }
 }
 
+/// What an endpoint is; one of which any of this changes is another endpoint.
+#[derive(PartialEq)]
+struct Place {
+    address: SocketAddr,
+    destination: DestinationId,
+    kind: usize,
+}
+
+/// A destination that was not listed for so long is not known any more.
+const FORGOTTEN: Duration = Duration::from_secs(3600);
+
 pub struct Exchange {
     within: RefCell<Within>,
     /// Something came in: a round is due.
@@ -90,12 +102,16 @@
     batches: Vec<usize>,
     retry_after: Option<Duration>,
     ledger: Ledger,
-    endpoints: HashMap<String, EndpointId>,
-    addresses: Vec<(SocketAddr, usize)>, // and the packets that one call carries at most
+    endpoints: HashMap<String, EndpointId>, // those that are listed and live, and no others
+    places: HashMap<EndpointId, Place>,     // theirs
+    next_endpoint: u32,
+    /// When each destination was last listed.
+    destinations: HashMap<DestinationId, Duration>,
+    told: bool,                                                // discovery has spoken in this life
     answers: BTreeMap<PacketId, Vec<oneshot::Sender<Answer>>>, // of its client, and of twins
     out: BTreeMap<PacketId, Rc<Notify>>,
     sending: Vec<(EndpointId, Vec<(PacketId, Duration)>)>, // this round's dispatches
-    closing: Vec<(SocketAddr, &'static str)>,
+    closing: Vec<(EndpointId, &'static str)>,
     wake: Option<Instant>,
 }
 
@@ -110,7 +126,10 @@
             retry_after: terms.retry_after,
             ledger,
             endpoints: HashMap::new(),
-            addresses: Vec::new(),
+            places: HashMap::new(),
+            next_endpoint: 0,
+            destinations: HashMap::new(),
+            told: false,
             answers: BTreeMap::new(),
             out: BTreeMap::new(),
             sending: Vec::new(),
@@ -139,19 +158,25 @@
         self.bell.notify_one();
     }
 
-    /// News of the destination list.
-    pub fn list(&self, list: &List) {
+    /// The destination list as last known before this life.
+    pub fn known(&self, list: &List) {
         let Within { sender, desk, .. } = &mut *self.within.borrow_mut();
-        if list.whole {
-            let listed = |name: &String| list.entries.iter().any(|entry| entry.name == *name);
-            let gone = desk.endpoints.iter().filter(|(name, _)| !listed(name));
-            desk.closing.extend(gone.map(|(_, id)| (desk.addresses[id.0 as usize].0, "unlisted")));
-        }
-        let lines: Vec<Listing> = list.entries.iter().filter_map(|entry| desk.listing(entry)).collect();
+        let lines = desk.listings(list);
         sender.list(desk.clock.now(), list.whole, &lines);
         self.bell.notify_one();
     }
 
+    /// News of the destination list.
+    pub fn list(&self, list: &List) {
+        self.known(list);
+        self.within.borrow_mut().desk.told = true;
+    }
+
+    /// Whether an endpoint is still listed, and live.
+    pub fn lists(&self, endpoint: EndpointId) -> bool {
+        self.within.borrow().desk.places.contains_key(&endpoint)
+    }
+
     /// A packet is handed in; the answer comes with the next round.
     pub fn take(&self, put: &Put) -> oneshot::Receiver<Answer> {
         let (answer, heard) = oneshot::channel();
@@ -240,8 +265,8 @@
         for (_, waiting) in std::mem::take(&mut desk.answers) {
             tell(waiting, Answer::Taken);
         }
-        for (address, code) in std::mem::take(&mut desk.closing) {
-            endpoints.close(address, code);
+        for (endpoint, code) in std::mem::take(&mut desk.closing) {
+            endpoints.close(endpoint, code);
         }
         for call in desk.calls() {
             tokio::task::spawn_local(endpoints.clone().carry(call, self.clone()));
@@ -270,6 +295,9 @@
         let now = desk.clock.now();
         let packet = desk.copy(put, now);
         let taken = desk.describe(&packet).map_err(Answer::Unknown)?;
+        if desk.told && !desk.destinations.contains_key(&taken.destination) {
+            return Err(Answer::Unknown("destination"));
+        }
         desk.ledger.take(packet).map_err(|fault| {
             log::warn!("packet {} dismissed, code=journal {fault}", put.id);
             Answer::Dismissed(desk.retry_after)
@@ -340,35 +368,59 @@
         })
     }
 
-    fn listing(&mut self, entry: &Entry) -> Option<Listing> {
+    /// What a list tells the sender. What has left it is forgotten here, so that a new endpoint at an address
+    /// that was in use, or a new place for an old name, inherits nothing.
+    fn listings(&mut self, list: &List) -> Vec<Listing> {
+        let mut lines = Vec::new();
+        if list.whole {
+            let listed: HashSet<&str> = list.entries.iter().map(|entry| &*entry.name).collect();
+            let gone = self.endpoints.keys().filter(|name| !listed.contains(&***name));
+            for name in gone.cloned().collect::<Vec<_>>() {
+                self.forget(&name, &mut lines);
+            }
+        }
+        for entry in &list.entries {
+            self.read_entry(entry, &mut lines);
+        }
+        let now = self.clock.now();
+        self.destinations.extend(self.places.values().map(|place| (place.destination, now)));
+        self.destinations.retain(|_, listed| now.saturating_sub(*listed) < FORGOTTEN);
+        lines
+    }
+
+    fn read_entry(&mut self, entry: &Entry, lines: &mut Vec<Listing>) {
         let Some(kind) = self.names.kinds.get(&entry.kind).copied() else {
-            log::warn!("list: endpoint {} passed over, unknown kind {}", entry.name, entry.kind);
-            return None;
+            return log::warn!("list: endpoint {} passed over, unknown kind {}", entry.name, entry.kind);
         };
-        let next = EndpointId(u32::try_from(self.addresses.len()).ok()?);
-        let endpoint = *self.endpoints.entry(entry.name.clone()).or_insert(next);
-        let place = (entry.address, self.batches[kind]);
-        match self.addresses.get_mut(endpoint.0 as usize) {
-            Some(old) => *old = place,
-            None => self.addresses.push(place),
+        let place = Place { address: entry.address, destination: DestinationId(entry.destination), kind };
+        let old = self.endpoints.get(&entry.name).copied();
+        let same = old.filter(|id| self.places.get(id) == Some(&place));
+        if !entry.live || same.is_none() {
+            self.forget(&entry.name, lines);
         }
-        if !entry.live {
-            self.closing.push((entry.address, "unlisted"));
+        if entry.live {
+            let endpoint = same.unwrap_or(EndpointId(self.next_endpoint));
+            self.next_endpoint += u32::from(same.is_none());
+            let line = Listing { endpoint, live: true, ..place.line(endpoint, entry.rate) };
+            self.endpoints.insert(entry.name.clone(), endpoint);
+            self.places.insert(endpoint, place);
+            lines.push(line);
         }
-        Some(Listing {
-            endpoint,
-            destination: DestinationId(entry.destination),
-            kind: KindId(kind),
-            live: entry.live,
-            rate: entry.rate,
-        })
+    }
+
+    /// An endpoint drains, is gone, or is another now.
+    fn forget(&mut self, name: &str, lines: &mut Vec<Listing>) {
+        let Some(endpoint) = self.endpoints.remove(name) else { return };
+        self.closing.push((endpoint, "unlisted"));
+        lines.extend(self.places.remove(&endpoint).map(|place| place.line(endpoint, 0.0)));
     }
 
     /// This round's dispatches as calls: those to one endpoint travel together, up to its kind's batch.
     fn calls(&mut self) -> Vec<Call> {
         let mut calls = Vec::new();
         for (endpoint, sending) in std::mem::take(&mut self.sending) {
-            let (address, batch) = self.addresses[endpoint.0 as usize];
+            let Some(Place { address, kind, .. }) = self.places.get(&endpoint) else { continue };
+            let (address, batch) = (*address, self.batches[*kind]);
             for chunk in sending.chunks(batch) {
                 let called_off = Rc::new(Notify::new());
                 let ids = chunk.iter().map(|(id, _)| *id);
@@ -376,7 +428,7 @@
                 // One answer comes for all, so the first to run out of time ends the call.
                 let time_out = chunk.iter().map(|(_, time_out)| *time_out).min().unwrap_or_default();
                 let packets = ids.filter_map(|id| self.ledger.packet(id).cloned()).collect();
-                calls.push(Call { address, packets, time_out, start: Instant::now(), called_off });
+                calls.push(Call { endpoint, address, packets, time_out, start: Instant::now(), called_off });
             }
         }
         calls
@@ -394,6 +446,13 @@
     }
 }
 
+impl Place {
+    /// As the sender hears of it when it is no longer live.
+    fn line(&self, endpoint: EndpointId, rate: f64) -> Listing {
+        Listing { endpoint, destination: self.destination, kind: KindId(self.kind), live: false, rate }
+    }
+}
+
 impl Host for Desk {
     fn dispatch(&mut self, packet: PacketId, endpoint: EndpointId, time_out: Duration) {
         match self.sending.iter_mut().find(|(other, _)| *other == endpoint) {
@@ -417,9 +476,7 @@
     }
 
     fn close_idle(&mut self, endpoint: EndpointId) {
-        if let Some((address, _)) = self.addresses.get(endpoint.0 as usize) {
-            self.closing.push((*address, "asked"));
-        }
+        self.closing.push((endpoint, "asked"));
     }
 
     fn wake(&mut self, after: Duration) {
--- a/crates/sailcart-sender/src/life/recovery.rs
+++ b/crates/sailcart-sender/src/life/recovery.rs
@@ -5,7 +5,7 @@
 
 /// The list comes first, so that a packet finds its destination.
 pub fn recover(exchange: &Exchange, known: &List) {
-    exchange.list(known);
+    exchange.known(known);
     let packets = exchange.unended();
     for packet in &packets {
         exchange.take_back(packet);
--- a/crates/sailcart-sender/src/memory/pool.rs
+++ b/crates/sailcart-sender/src/memory/pool.rs
@@ -4,16 +4,18 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use sailcart::EndpointId;
 use tokio::net::TcpStream;
 
 struct Idle {
+    address: SocketAddr,
     stream: TcpStream,
     since: Instant,
 }
 
-/// Idle connections by endpoint, the last used first.
+/// Idle connections by endpoint, the last used first. Not by address, which a new endpoint may take over.
 pub struct Pool {
-    idle: HashMap<SocketAddr, Vec<Idle>>,
+    idle: HashMap<EndpointId, Vec<Idle>>,
     /// Closed after standing idle for this long.
     most_idle: Duration,
     /// Idle connections in all at most.
@@ -26,46 +28,46 @@
     }
 
     /// A connection on which a call can go, if there is one.
-    pub fn take(&mut self, address: SocketAddr) -> Option<TcpStream> {
-        let idle = self.idle.get_mut(&address)?;
+    pub fn take(&mut self, endpoint: EndpointId) -> Option<TcpStream> {
+        let idle = self.idle.get_mut(&endpoint)?;
         while let Some(last) = idle.pop() {
             match self.most_idle.checked_sub(last.since.elapsed()) {
-                None => ended(address, "idle"),
-                Some(_) if gone(&last.stream) => ended(address, "peer_closed"),
+                None => ended(last.address, "idle"),
+                Some(_) if gone(&last.stream) => ended(last.address, "peer_closed"),
                 Some(_) => return Some(last.stream),
             }
         }
         None
     }
 
-    pub fn put(&mut self, address: SocketAddr, stream: TcpStream) {
+    pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, stream: TcpStream) {
         if self.len() >= self.most {
             return ended(address, "too_many");
         }
-        self.idle.entry(address).or_default().push(Idle { stream, since: Instant::now() });
+        self.idle.entry(endpoint).or_default().push(Idle { address, stream, since: Instant::now() });
     }
 
     /// Closes an endpoint's idle connections.
-    pub fn close(&mut self, address: SocketAddr, code: &str) {
-        for _ in self.idle.remove(&address).unwrap_or_default() {
-            ended(address, code);
+    pub fn close(&mut self, endpoint: EndpointId, code: &str) {
+        for one in self.idle.remove(&endpoint).unwrap_or_default() {
+            ended(one.address, code);
         }
     }
 
     pub fn close_all(&mut self, code: &str) {
-        for address in self.idle.keys().copied().collect::<Vec<_>>() {
-            self.close(address, code);
+        for endpoint in self.idle.keys().copied().collect::<Vec<_>>() {
+            self.close(endpoint, code);
         }
     }
 
     /// Closes what has stood idle for too long or was closed by its peer.
     pub fn sweep(&mut self) {
-        for (address, idle) in &mut self.idle {
+        for idle in self.idle.values_mut() {
             idle.retain(|one| {
                 let code = if one.since.elapsed() >= self.most_idle { "idle" } else { "peer_closed" };
                 let over = code == "idle" || gone(&one.stream);
                 if over {
-                    ended(*address, code);
+                    ended(one.address, code);
                 }
                 !over
             });
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -62,7 +62,7 @@
         };
         let turn = async {
             stream.write_all(bytes).await?;
-            caller::read(&mut stream, most, &mut reply).await
+            caller::read(&mut stream, most, ANSWER, &mut reply).await
         };
         timeout(within, turn).await??;
         if reply.keeps() {
--- a/crates/sailcart-sender/src/wire/call.rs
+++ b/crates/sailcart-sender/src/wire/call.rs
@@ -39,16 +39,17 @@
     entry
 }
 
-/// Whether the first line alone says how the call ended, whatever becomes of the rest of the answer.
-pub fn told_by_head(head: &Head, packets: usize) -> bool {
-    head.status != 200 || packets == 1
+/// Whether the first line alone says that the call's one packet is delivered, whatever becomes of the rest.
+pub fn settled(status: Option<u16>, packets: usize) -> bool {
+    status == Some(200) && packets == 1
 }
 
 /// How each of a call's packets came back.
 pub fn endings(head: &Head, body: &[u8], ids: &[&str]) -> Vec<Ending> {
-    let states = if told_by_head(head, ids.len()) { None } else { states(body) };
+    let listed = head.status == 200 && ids.len() > 1;
+    let states = if listed { states(body) } else { None };
     let of = |id: &&str| match &states {
-        None if head.status == 200 && ids.len() > 1 => (Outcome::Error, false),
+        None if listed => (Outcome::Error, false),
         None => ending(head),
         Some(states) => {
             let state = states.iter().find(|(other, _)| other == id);
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -150,6 +150,66 @@
     assert!(world.log().contains("code=peer_closed"));
 }
 
+/// Spoilt answers: a first line that reads 200 settles a single packet, whatever follows; any other spoilt answer
+/// ends its call at once, as one that may have run. Their connections are used no more.
+#[test]
+fn a_spoilt_answer_is_not_waited_for() {
+    let world = World::new("spoilt", |number, _| {
+        Some(match number {
+            0 => "HTTP/1.1 200 OK\r\n\u{1}\u{2} no head".to_owned(),
+            1 => "\0\0 noise".to_owned(),
+            2 => "HTTP/1.1 503 No\r\nContent-Length: -7\r\n\r\n".to_owned(),
+            3 => "HTTP/1.1 429 No\r\nRetry-After: 9\r\nContent-Length: 3000000000\r\n\r\nxxx".to_owned(),
+            4 => "HTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nx".to_owned(),
+            5 => "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Load-Report: \u{1}\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            6 => "HTTP/1.1 200 OK\r\nX-Without-End: ".to_owned(),
+            _ => answer("200 OK", "", "")?,
+        })
+    });
+    let start = Instant::now();
+    assert_eq!(world.put("a1"), "+OK");
+    world.until("its end", |world| world.log().contains("packet a1 from"));
+    assert_eq!(world.put("b2"), "+OK");
+    let calls = ["a1", "b2", "b2", "b2", "b2", "b2"];
+    world.until("the calls", |world| world.came() == calls);
+    assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
+    world.until("the answer", |world| world.log().contains("packet b2 from") && world.log().contains("Done"));
+    assert_eq!(world.put("c3"), "+OK");
+    world.until("its end", |world| world.log().contains("packet c3 from"));
+    sleep(Duration::from_millis(600));
+    assert_eq!(world.came().len(), calls.len() + 1, "none goes again that was answered 200");
+    assert!(world.log().contains("code=malformed"));
+}
+
+/// A new endpoint at the address of one that has gone is called on connections of its own.
+#[test]
+fn a_new_endpoint_inherits_no_connection() {
+    let world = World::new("replaced", |_, _| None);
+    let place = TcpListener::bind("127.0.0.1:0").expect("a free address");
+    let address = place.local_addr().expect("an address");
+    let (came, count) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for (number, stream) in place.incoming().flatten().enumerate() {
+            let came = came.clone();
+            std::thread::spawn(move || {
+                let mut stream = stream;
+                while stream.read(&mut [0; 4096]).is_ok_and(|read| read > 0) {
+                    came.send(number).expect("the story goes on");
+                    sleep(Duration::from_millis(300));
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("room");
+                }
+            });
+        }
+    });
+    for (version, name, connection) in [(2, "f", 0), (3, "f", 0), (4, "g", 1), (5, "g", 1)] {
+        world.platform.list(&[entry(name, address, 7, "Ready")]);
+        world.until("the news", |world| world.log().contains(&format!("discovery: version {version}")));
+        sleep(Duration::from_millis(500)); // a call that was out when its endpoint went is back
+        assert_eq!(world.put(&format!("a{version}")), "+OK");
+        assert_eq!(count.recv_timeout(Duration::from_secs(5)), Ok(connection), "version {version}");
+    }
+}
+
 /// An endpoint may close a connection as soon as it stands idle: no call is lost on one that is closed.
 #[test]
 fn a_connection_that_its_peer_closed_gets_no_call() {
@@ -293,7 +353,7 @@
 fn discovery_moves_at_sighup() {
     let mut world = World::new("moved", |_, _| None);
     let (place, platform) = Platform::start("127.0.0.1:0");
-    platform.list(&[entry("f", world.endpoint, 8, "Ready")]);
+    (0..2).for_each(|_| platform.list(&[entry("f", world.endpoint, 8, "Ready")]));
     let pid = world.sender.as_ref().expect("a sender").id().to_string();
     let file = world.folder.join("config.json");
     let reload = |text: &str| {
@@ -307,7 +367,7 @@
     world.platform.deaf.store(true, Ordering::Relaxed);
     let start = Instant::now();
     reload(&world.config);
-    world.until("the new list", |world| world.log().contains("discovery: version 1, 1 entries\n"));
+    world.until("the new list", |world| world.log().contains("discovery: version 2, 1 entries"));
     assert!(start.elapsed() < Duration::from_secs(1), "a watch held at the old address is not waited for");
     let fields = "c=notice,t=acme,d=700,dest=8";
     assert_eq!(put(world.listen, "a1", fields, "").expect("an answer"), "+OK");
@@ -362,12 +422,43 @@
     assert!(start.elapsed() < Duration::from_secs(5), "a byte now and then holds no place");
     let unknown = put(world.listen, "a1", "c=other,t=acme,d=8000,dest=7", "").expect("a word");
     assert_eq!(unknown, "-ERR unknown category");
+    let nowhere = put(world.listen, "a1", "c=notice,t=acme,d=8000,dest=70000", "").expect("a word");
+    assert_eq!(nowhere, "-ERR unknown destination");
+    let mut silent = TcpStream::connect(world.listen).expect("a connection");
+    silent.set_read_timeout(Some(Duration::from_secs(3))).expect("a time-out");
+    assert_eq!(silent.read(&mut [0]).expect("a close"), 0);
     world.until("a line each", |world| {
         ["code=malformed", "code=oversized", "code=slow"].iter().all(|code| world.log().contains(code))
     });
     assert_eq!(world.put("a1"), "+OK");
 }
 
+/// Hundreds of commands at once: each is answered, in order and not one a round, also when the client has ended
+/// its side; what cannot be read behind them hears so.
+#[test]
+fn commands_may_come_together() {
+    let mut world = World::new("together", |_, _| answer("200 OK", "", ""));
+    world.kill();
+    world.config = world.config.replace(r#""period_ms": 5"#, r#""period_ms": 50"#);
+    world.start();
+    let mut client = TcpStream::connect(world.listen).expect("a connection");
+    let put = |number: usize| {
+        let (id, fields) = (format!("a{number}"), "c=notice,t=acme,d=8000,dest=7");
+        let bulk = |word: &str| format!("${}\r\n{word}\r\n", word.len());
+        format!("*5\r\n{}", ["MSG.PUT", "0", &id, fields, ""].map(bulk).concat())
+    };
+    let puts: String = (0..40).map(put).collect();
+    let pings = "*1\r\n$4\r\nPING\r\n".repeat(600);
+    let start = Instant::now();
+    client.write_all(format!("{puts}{pings}nonsense\r\n").as_bytes()).expect("room");
+    client.shutdown(std::net::Shutdown::Write).expect("an end");
+    let mut words = String::new();
+    client.read_to_string(&mut words).expect("the end of the connection");
+    let faulty = "-ERR expected an array of bulk strings\r\n";
+    assert_eq!(words, format!("{}{}{faulty}", "+OK\r\n".repeat(40), "+PONG\r\n".repeat(600)));
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+}
+
 /// Two senders on one folder would cut each other's records.
 #[test]
 fn a_folder_has_one_sender() {
--- a/crates/sailcart-sender/tests/wire.rs
+++ b/crates/sailcart-sender/tests/wire.rs
@@ -173,3 +173,23 @@
         }
     }
 }
+
+/// Spoilt answers: the first line counts alone, and a length that cannot be read is no length to wait for.
+#[test]
+fn the_first_line_of_an_answer_is_read_by_itself() {
+    assert_eq!(
+        http::status(b"HTTP/1.1 200 OK\r\n\xff\x00 no head").map(|read| read.map(|r| r.0)),
+        Ok(Some(200))
+    );
+    assert_eq!(http::status(b"HTTP/1.1 200\r\n").map(|read| read.map(|r| r.0)), Ok(Some(200)));
+    assert_eq!(http::status(b"HTTP/1.1 20"), Ok(None));
+    for line in ["HTTP/1.1 2000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/3 200 OK\r\n", "\0\0\0\0"] {
+        assert!(http::status(line.as_bytes()).is_err(), "{line}");
+    }
+    assert_eq!(http::status(&[b"HTTP/1.1 200 ".as_slice(), &[b'x'; 20_000]].concat()), Err("too large"));
+    for lengths in ["-1", "+5", "12x", "99999999999999999999999", "5\r\nContent-Length: 6", ""] {
+        let input = format!("HTTP/1.1 503 No\r\nContent-Length: {lengths}\r\n\r\n");
+        let Ok(Some((head, _))) = http::head(input.as_bytes()) else { panic!("{lengths}") };
+        assert_eq!(head.extent, http::Extent::Unreadable, "{lengths}");
+    }
+}
