--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -42,6 +42,8 @@
     /// Something has come on it.
     spoke: Cell<bool>,
     idle_since: Cell<Option<Instant>>,
+    /// Commands that name what is not known.
+    turned_away: Cell<u64>,
     /// When the command that is coming in began to come.
     begun: Cell<Option<Instant>>,
     hang_up: Notify,
@@ -120,7 +122,8 @@
         let accepted = Instant::now();
         let (spoke, idle_since) = (Cell::new(false), Cell::new(Some(accepted)));
         let (begun, hang_up) = (Cell::new(None), Notify::new());
-        let line = Rc::new(Line { accepted, spoke, idle_since, begun, hang_up });
+        let turned_away = Cell::new(0);
+        let line = Rc::new(Line { accepted, spoke, idle_since, turned_away, begun, hang_up });
         let number = self.next.replace(self.next.get() + 1);
         self.lines.borrow_mut().insert(number, line.clone());
         (number, line)
@@ -133,7 +136,10 @@
         drop(stream);
         self.lines.borrow_mut().remove(&number);
         self.left.notify_one();
-        log::info!("client {peer}: connection ended, code={code} answers={answered}");
+        let turned_away = line.turned_away.get();
+        log::info!(
+            "client {peer}: connection ended, code={code} answers={answered} turned_away={turned_away}"
+        );
     }
 
     /// Speaks with one client until its connection ends; tells why it did. Commands are read on while others wait
@@ -149,7 +155,7 @@
             let reads = unreadable.is_none() && pending.len() < MOST_PENDING;
             let open = !pending.is_empty();
             let read = tokio::select! {
-                answer = first(&mut pending), if open => Ok(Some(answer)),
+                answer = first(&mut pending, line), if open => Ok(Some(answer)),
                 read = self.more(stream, line, &mut buffer, open), if reads => read.map(|()| None),
             };
             match read {
@@ -158,7 +164,7 @@
                 Err(code) => {
                     // A client may end its side as soon as it has said all: it is answered all the same.
                     while !pending.is_empty() {
-                        let answer = first(&mut pending).await;
+                        let answer = first(&mut pending, line).await;
                         write(stream, answer, &mut pending, answered).await?;
                     }
                     return match code {
@@ -184,7 +190,7 @@
                 Ok(Some((command, used))) => {
                     line.idle_since.set(None);
                     line.begun.set(None);
-                    pending.push_back(self.begin(&command));
+                    pending.push_back(self.begin(&command, line));
                     buffer.advance(used);
                 }
                 Ok(None) if buffer.len() <= resp::MOST_COMMAND => return None,
@@ -240,11 +246,11 @@
         }
     }
 
-    fn begin(&self, command: &Command) -> Begun {
+    fn begin(&self, command: &Command, line: &Line) -> Begun {
         match command {
             Command::Ping(echo) => Begun::Done(resp::pong(*echo)),
             Command::Put(put) => Begun::Taking(self.exchange.take(put)),
-            Command::Unknown | Command::Faulty(_) => Begun::Done(unknown("command")),
+            Command::Unknown | Command::Faulty(_) => Begun::Done(unknown("command", line)),
         }
     }
 }
@@ -257,7 +263,7 @@
 
 impl Begun {
     /// May be given up and called again until it has told the answer.
-    async fn finish(&mut self) -> Vec<u8> {
+    async fn finish(&mut self, line: &Line) -> Vec<u8> {
         let answer = match self {
             Begun::Done(answer) => return std::mem::take(answer),
             Begun::Taking(answer) => answer.await,
@@ -266,16 +272,16 @@
             Ok(Answer::Taken) => resp::TAKEN.to_vec(),
             Ok(Answer::Dismissed(wait)) => resp::busy(wait),
             Ok(Answer::Scrapped) => resp::error("given up"),
-            Ok(Answer::Unknown(what)) => unknown(what),
+            Ok(Answer::Unknown(what)) => unknown(what, line),
             Err(_) => resp::busy(None),
         }
     }
 }
 
 /// The answer that is due next. This may be given up and called again until it has told it.
-async fn first(pending: &mut VecDeque<Begun>) -> Vec<u8> {
+async fn first(pending: &mut VecDeque<Begun>, line: &Line) -> Vec<u8> {
     let Some(begun) = pending.front_mut() else { return Vec::new() };
-    let answer = begun.finish().await;
+    let answer = begun.finish(line).await;
     pending.pop_front();
     answer
 }
@@ -300,8 +306,12 @@
     }
 }
 
-fn unknown(what: &str) -> Vec<u8> {
-    log::warn!("clients: code=unknown_{what}");
+/// Guards against a log that a client fills which comes again as soon as it is turned away: one line for its first,
+/// and their number as its connection ends.
+fn unknown(what: &str, line: &Line) -> Vec<u8> {
+    if line.turned_away.replace(line.turned_away.get() + 1) == 0 {
+        log::warn!("clients: code=unknown_{what}");
+    }
     resp::error(&format!("unknown {what}"))
 }
 
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -427,6 +427,12 @@
     let mut silent = TcpStream::connect(world.listen).expect("a connection");
     silent.set_read_timeout(Some(Duration::from_secs(3))).expect("a time-out");
     assert_eq!(silent.read(&mut [0]).expect("a close"), 0);
+    let mut stubborn = TcpStream::connect(world.listen).expect("a connection");
+    stubborn.write_all("*1\r\n$5\r\nHELLO\r\n".repeat(300).as_bytes()).expect("room");
+    stubborn.shutdown(std::net::Shutdown::Write).expect("an end");
+    stubborn.read_to_string(&mut String::new()).expect("the end of the connection");
+    world.until("their number", |world| world.log().contains("answers=300 turned_away=300"));
+    assert!(world.log().matches("code=unknown_command").count() < 5);
     world.until("a line each", |world| {
         ["code=malformed", "code=oversized", "code=slow"].iter().all(|code| world.log().contains(code))
     });
