--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -28,8 +28,6 @@
 
 /// Commands of one connection that wait for their answers at most; the rest waits to be read.
 const MOST_PENDING: usize = 64;
-/// A client that has something to say says it by then; until then its connection is not closed for others.
-const FRESH: Duration = Duration::from_millis(200);
 /// How long one idle connection is waited for to make room before another is tried.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -58,24 +56,6 @@
     stopping: Cell<bool>,
 }
 
-/// Which idle connections give way first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    Silent,
-    Used,
-    Fresh, // its first packet may be on its way, and a close would fail that
-}
-
-impl Line {
-    fn standing(&self) -> Standing {
-        match self.spoke.get() {
-            true => Standing::Used,
-            false if self.accepted.elapsed() < FRESH => Standing::Fresh,
-            false => Standing::Silent,
-        }
-    }
-}
-
 impl Clients {
     pub fn new(exchange: Rc<Exchange>, most: usize) -> Rc<Self> {
         let (lines, next) = (RefCell::default(), Cell::new(0));
@@ -99,13 +79,14 @@
         }
     }
 
-    /// Guards against more connections than descriptors, and against silent ones that crowd out the usual: those
-    /// go first, then the one that has been idle the longest. Where none is idle, new ones wait to be accepted.
+    /// Guards against more connections than descriptors: the one that has been idle the longest gives way. Those on
+    /// which nothing came yet go last, as a close would fail a first packet on its way, and silent ones have an end
+    /// of their own. Where none is idle, new ones wait to be accepted.
     async fn make_room(&self) {
         while self.lines.borrow().len() >= self.most {
             let lines = self.lines.borrow().values().cloned().collect::<Vec<_>>();
             let idle = lines.iter().filter(|line| line.idle_since.get().is_some());
-            if let Some(line) = idle.min_by_key(|line| (line.standing(), line.idle_since.get())) {
+            if let Some(line) = idle.min_by_key(|line| (!line.spoke.get(), line.idle_since.get())) {
                 line.hang_up.notify_one();
             }
             let _ = timeout(LOOK, self.left.notified()).await; // a command may have come on it meanwhile
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -510,6 +510,34 @@
     assert!(world.log().contains("code=evicted"));
 }
 
+/// curridabat-nuevo, recorded day of a crowd: a connection whose first packet is on its way is not closed for others
+/// while one that has been answered can give way.
+#[test]
+fn a_first_packet_is_waited_for_while_others_can_give_way() {
+    let mut world = World::new("crowd", |_, _| answer("200 OK", "", ""));
+    world.kill();
+    world.config = world.config.replace(r#""sockets": 1024"#, r#""sockets": 56"#);
+    world.start();
+    let ping = "*1\r\n$4\r\nPING\r\n";
+    let mut first = TcpStream::connect(world.listen).expect("a connection");
+    sleep(Duration::from_millis(300));
+    let used: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let mut stream = TcpStream::connect(world.listen).expect("a connection");
+            stream
+                .write_all(ping.as_bytes())
+                .and_then(|()| stream.read_exact(&mut [0; 7]))
+                .expect("an answer");
+            stream
+        })
+        .collect();
+    first.write_all(ping.as_bytes()).expect("room");
+    let mut word = [0; 7];
+    first.read_exact(&mut word).expect("an answer");
+    assert_eq!((&word, used.len()), (b"+PONG\r\n", 40));
+    assert!(world.log().contains("code=evicted answers=1"));
+}
+
 #[test]
 fn a_faulty_configuration_is_one_line_with_the_key() {
     for (from, to, line) in [
