Laboratory: experiments in simulated time with a watcher of the six rules

Nothing in the repository could show how senders behave under failures or at large size. The new crate plays an experiment file with the module on an event queue: receivers with limits, queues, dedup memory, cold returns; troubles by time; an independent watcher; four baselines; result.json and report.html.

--- /dev/null
+++ b/crates/sailcart-lab/src/policies/baseline.rs
@@ -0,0 +1,243 @@
+//! What the module is measured against. A baseline keeps no waits, guards no return and learns no limit; it keeps
+//! to what every careful client does: one end for each packet, no second copy, nothing to what is not listed.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sailcart::{DestinationId, EndpointId, Host, Listing, Outcome, Packet, PacketId, Repeat, Terms};
+
+use super::{Eyes, Policy, PolicyName};
+
+/// The first step of a backoff, and the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(8));
+/// Failures in a row that open a breaker, and for how long.
+const BREAKER: (u32, Duration) = (5, Duration::from_secs(5));
+/// How often the oracle looks again at packets that nobody would take just now.
+const LOOK: Duration = Duration::from_millis(20);
+/// Part of the patience at its end in which nothing new goes out.
+const LAST: u32 = 40;
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Held,
+    Out(EndpointId),
+}
+
+struct Kept {
+    packet: Packet,
+    state: State,
+    not_before: Duration,
+    /// Until when a repeat is known, once it may have run.
+    known_until: Option<Duration>,
+}
+
+#[derive(Default)]
+struct Seen {
+    destination: Option<DestinationId>,
+    live: bool,
+    out: usize,
+    failures: u32,
+    open_until: Duration,
+}
+
+pub struct Baseline {
+    name: PolicyName,
+    terms: Terms,
+    rng: ChaCha8Rng,
+    packets: BTreeMap<PacketId, Kept>,
+    line: VecDeque<PacketId>,
+    endpoints: BTreeMap<EndpointId, Seen>,
+    of: BTreeMap<DestinationId, Vec<EndpointId>>,
+    turns: BTreeMap<sailcart::KeyId, (VecDeque<PacketId>, Duration)>,
+    out: usize,
+}
+
+impl Baseline {
+    pub fn new(name: PolicyName, terms: Terms, seed: u64) -> Self {
+        Baseline {
+            name,
+            terms,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            packets: BTreeMap::new(),
+            line: VecDeque::new(),
+            endpoints: BTreeMap::new(),
+            of: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            out: 0,
+        }
+    }
+
+    fn last_start(&self, kept: &Kept) -> Duration {
+        let patience = self.terms.categories[kept.packet.category.0].patience;
+        let last = kept.packet.ends.saturating_sub(patience / LAST);
+        kept.known_until.map_or(last, |known| last.min(known.saturating_sub(patience / LAST)))
+    }
+
+    fn end(&mut self, id: PacketId, host: &mut dyn Host) {
+        let Some(kept) = self.packets.remove(&id) else { return };
+        let repeat = self.terms.categories[kept.packet.category.0].repeat;
+        if kept.known_until.is_some() && repeat == Repeat::Unrepeatable {
+            host.scrap(id);
+        } else {
+            host.dismiss(id, self.terms.retry_after.map(|most| most.min(BACKOFF.0)));
+        }
+        self.line.retain(|other| *other != id);
+        self.leave_turn(&kept.packet);
+    }
+
+    fn leave_turn(&mut self, packet: &Packet) {
+        if let Some((queue, _)) = packet.key.and_then(|key| self.turns.get_mut(&key)) {
+            queue.retain(|other| *other != packet.id);
+        }
+    }
+
+    fn in_turn(&self, now: Duration, packet: &Packet) -> bool {
+        let in_order = self.terms.categories[packet.category.0].in_order;
+        let turn = packet.key.filter(|_| in_order).and_then(|key| self.turns.get(&key));
+        turn.is_none_or(|(queue, rests)| queue.front() == Some(&packet.id) && *rests <= now)
+    }
+
+    fn pick(&mut self, now: Duration, to: DestinationId, eyes: &dyn Eyes) -> Option<EndpointId> {
+        let live: Vec<EndpointId> = self.of.get(&to).into_iter().flatten().copied().collect();
+        let live: Vec<EndpointId> = live.into_iter().filter(|id| self.endpoints[id].live).collect();
+        match self.name {
+            PolicyName::Oracle => {
+                let finish = |id: &EndpointId| eyes.would_finish(now, *id).map(|at| (at, *id));
+                live.iter().filter_map(finish).min().map(|(_, id)| id)
+            }
+            PolicyName::Breaker => {
+                let open = |id: &&EndpointId| self.endpoints[id].open_until <= now;
+                live.iter().filter(open).min_by_key(|id| (self.endpoints[id].out, **id)).copied()
+            }
+            _ => live.choose(&mut self.rng).copied(),
+        }
+    }
+
+    fn after(&mut self, now: Duration, dispatches: u32) -> Duration {
+        match self.name {
+            PolicyName::Backoff => {
+                let most = BACKOFF.0.saturating_mul(1 << dispatches.min(16)).min(BACKOFF.1);
+                now + most.mul_f64(self.rng.random())
+            }
+            PolicyName::Oracle => now + LOOK,
+            _ => now,
+        }
+    }
+}
+
+impl Policy for Baseline {
+    fn list(&mut self, _: Duration, whole: bool, lines: &[Listing]) {
+        if whole {
+            self.endpoints.values_mut().for_each(|seen| seen.live = false);
+        }
+        for line in lines {
+            let seen = self.endpoints.entry(line.endpoint).or_default();
+            seen.live = line.live;
+            if seen.destination.replace(line.destination).is_none() {
+                self.of.entry(line.destination).or_default().push(line.endpoint);
+            }
+        }
+    }
+
+    fn take(&mut self, _: Duration, packet: Packet) {
+        let category = self.terms.categories[packet.category.0];
+        if let (true, Some(key)) = (category.in_order, packet.key) {
+            self.turns.entry(key).or_default().0.push_back(packet.id);
+        }
+        let memory = match category.repeat {
+            Repeat::Deduplicated { memory } => memory,
+            _ => Duration::MAX,
+        };
+        let known_until = packet.doubt.map(|doubt| doubt.saturating_add(memory));
+        let id = packet.id;
+        self.packets.insert(id, Kept { packet, state: State::Held, not_before: Duration::ZERO, known_until });
+        self.line.push_back(id);
+    }
+
+    fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool) {
+        let Some(kept) = self.packets.get_mut(&id) else { return };
+        let State::Out(endpoint) = kept.state else { return };
+        kept.state = State::Held;
+        self.out = self.out.saturating_sub(1);
+        if let Some(seen) = self.endpoints.get_mut(&endpoint) {
+            seen.out = seen.out.saturating_sub(1);
+            seen.failures = if outcome == Outcome::Done { 0 } else { seen.failures + 1 };
+            if seen.failures >= BREAKER.0 {
+                (seen.open_until, seen.failures) = (now + BREAKER.1, BREAKER.0 - 1);
+            }
+        }
+        if over || outcome == Outcome::Done {
+            let packet = kept.packet.clone();
+            self.packets.remove(&id);
+            return self.leave_turn(&packet);
+        }
+        let unsure =
+            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if unsure {
+            let memory = match self.terms.categories[kept.packet.category.0].repeat {
+                Repeat::Deduplicated { memory } => memory,
+                _ => Duration::MAX,
+            };
+            let known = now.saturating_sub(elapsed).saturating_add(memory);
+            kept.known_until = Some(kept.known_until.map_or(known, |before| before.min(known)));
+            let turn = kept.packet.key.and_then(|key| self.turns.get_mut(&key));
+            if let Some((_, rests)) = turn {
+                *rests = now + self.terms.settle;
+            }
+        }
+        let dispatches = kept.packet.dispatches;
+        let again = self.after(now, dispatches);
+        if let Some(kept) = self.packets.get_mut(&id) {
+            kept.not_before = again;
+        }
+        self.line.push_back(id);
+    }
+
+    fn may_still_go(&self, _: Duration, id: PacketId) -> bool {
+        let Some(State::Out(endpoint)) = self.packets.get(&id).map(|kept| kept.state) else { return false };
+        self.endpoints.get(&endpoint).is_some_and(|seen| seen.live)
+    }
+
+    fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host) {
+        let (mut looked, mut wake) = (VecDeque::new(), Duration::MAX);
+        while let Some(id) = self.line.pop_front() {
+            let Some(kept) = self.packets.get(&id).filter(|kept| kept.state == State::Held) else { continue };
+            let repeat = self.terms.categories[kept.packet.category.0].repeat;
+            let unsure = kept.known_until.is_some() && repeat == Repeat::Unrepeatable;
+            let once = self.name == PolicyName::OneTry && kept.packet.dispatches > 0;
+            let (packet, last, not_before) = (kept.packet.clone(), self.last_start(kept), kept.not_before);
+            if unsure || once || packet.dispatches >= self.terms.dispatches || last <= now {
+                self.end(id, host);
+                continue;
+            }
+            let ready = not_before <= now && self.out < self.terms.slots && self.in_turn(now, &packet);
+            let endpoint = if ready { self.pick(now, packet.destination, eyes) } else { None };
+            let Some(endpoint) = endpoint else {
+                let look = if not_before > now { not_before } else { now + LOOK };
+                wake = wake.min(look).min(last);
+                looked.push_back(id);
+                continue;
+            };
+            let time_out = match repeat {
+                Repeat::Unrepeatable => packet.ends.saturating_sub(now),
+                _ => {
+                    packet.ends.saturating_sub(now).min(self.terms.categories[packet.category.0].patience / 3)
+                }
+            };
+            if let Some(kept) = self.packets.get_mut(&id) {
+                kept.packet.dispatches += 1;
+                kept.state = State::Out(endpoint);
+            }
+            self.out += 1;
+            self.endpoints.entry(endpoint).or_default().out += 1;
+            host.dispatch(id, endpoint, time_out);
+        }
+        self.line = looked;
+        if wake < Duration::MAX {
+            host.wake(wake.saturating_sub(now).max(Duration::from_millis(1)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -0,0 +1,123 @@
+//! Who decides in virtual mode: the module itself, or one of the baselines it is measured against.
+
+mod baseline;
+
+use std::time::Duration;
+
+use sailcart::{EndpointId, Host, Listing, Outcome, Packet, PacketId, Sender, Terms};
+use serde::{Deserialize, Serialize};
+
+pub use baseline::Baseline;
+
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, clap::ValueEnum,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyName {
+    /// The module.
+    #[default]
+    Sailcart,
+    /// Each packet once, in order of arrival.
+    OneTry,
+    /// Exponential backoff with full jitter, and no limit: what webhook services do.
+    Backoff,
+    /// The endpoint with the least calls out, and a breaker for failures in a row: what proxies do.
+    Breaker,
+    /// Sees every endpoint's true state: the top.
+    Oracle,
+}
+
+impl PolicyName {
+    pub const ALL: [PolicyName; 5] = [
+        PolicyName::Sailcart,
+        PolicyName::OneTry,
+        PolicyName::Backoff,
+        PolicyName::Breaker,
+        PolicyName::Oracle,
+    ];
+
+    pub fn word(self) -> &'static str {
+        match self {
+            PolicyName::Sailcart => "sailcart",
+            PolicyName::OneTry => "one-try",
+            PolicyName::Backoff => "backoff",
+            PolicyName::Breaker => "breaker",
+            PolicyName::Oracle => "oracle",
+        }
+    }
+}
+
+/// What only the oracle may look at.
+pub trait Eyes {
+    /// When a call that came now would be answered with success, if it would.
+    fn would_finish(&self, now: Duration, endpoint: EndpointId) -> Option<Duration>;
+}
+
+/// One sender's decisions; the calls of [`Sender`], and what a baseline needs in their place.
+pub trait Policy {
+    fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]);
+    fn take(&mut self, now: Duration, packet: Packet);
+    fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool);
+    /// Asked before the first byte of a call that waited for its connection.
+    fn may_still_go(&self, now: Duration, id: PacketId) -> bool;
+    fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host);
+}
+
+/// Lets the module act through a host known only by its trait.
+struct Through<'a>(&'a mut dyn Host);
+
+impl Host for Through<'_> {
+    fn dispatch(&mut self, packet: PacketId, endpoint: EndpointId, time_out: Duration) {
+        self.0.dispatch(packet, endpoint, time_out);
+    }
+
+    fn cancel(&mut self, packet: PacketId, dispatch: u32) {
+        self.0.cancel(packet, dispatch);
+    }
+
+    fn dismiss(&mut self, packet: PacketId, retry_after: Option<Duration>) {
+        self.0.dismiss(packet, retry_after);
+    }
+
+    fn scrap(&mut self, packet: PacketId) {
+        self.0.scrap(packet);
+    }
+
+    fn close_idle(&mut self, endpoint: EndpointId) {
+        self.0.close_idle(endpoint);
+    }
+
+    fn wake(&mut self, after: Duration) {
+        self.0.wake(after);
+    }
+}
+
+impl Policy for Sender {
+    fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
+        Sender::list(self, now, whole, lines);
+    }
+
+    fn take(&mut self, now: Duration, packet: Packet) {
+        Sender::take(self, now, packet);
+    }
+
+    fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool) {
+        Sender::outcome(self, now, id, elapsed, outcome, over);
+    }
+
+    fn may_still_go(&self, now: Duration, id: PacketId) -> bool {
+        Sender::may_still_go(self, now, id)
+    }
+
+    fn decide(&mut self, now: Duration, _: &dyn Eyes, host: &mut dyn Host) {
+        Sender::decide(self, now, &mut Through(host));
+    }
+}
+
+/// A sender's decisions at its start.
+pub fn start(name: PolicyName, terms: &Terms, seed: u64) -> Box<dyn Policy> {
+    match name {
+        PolicyName::Sailcart => Box::new(Sender::new(terms.clone(), seed)),
+        other => Box::new(Baseline::new(other, terms.clone(), seed)),
+    }
+}
--- /dev/null
+++ b/crates/sailcart-lab/src/receivers/limit.rs
@@ -0,0 +1,114 @@
+//! A limit that all senders share: an even rate, or a count in each span.
+
+use std::time::Duration;
+
+use crate::experiment::{Limit, LimitBy};
+
+/// Seconds of its rate that an even limit grants at once.
+const BURST: f64 = 1.0;
+
+#[derive(Clone, Debug)]
+pub struct Gauge {
+    limit: Limit,
+    /// Calls left, where the rate is even; calls so far in this span otherwise.
+    level: f64,
+    at: Duration,
+}
+
+impl Gauge {
+    pub fn new(limit: &Limit) -> Self {
+        let level = if limit.by == LimitBy::Rate { (limit.rate * BURST).max(1.0) } else { 0.0 };
+        Gauge { limit: limit.clone(), level, at: Duration::ZERO }
+    }
+
+    fn most(&self) -> f64 {
+        match self.limit.by {
+            LimitBy::Rate => (self.limit.rate * BURST).max(1.0),
+            _ => (self.limit.rate * self.limit.span.as_secs_f64()).max(1.0).floor(),
+        }
+    }
+
+    fn span(&self, now: Duration) -> u128 {
+        now.as_micros() / self.limit.span.as_micros().max(1)
+    }
+
+    fn read(&self, now: Duration) -> f64 {
+        match self.limit.by {
+            LimitBy::Rate => {
+                let accrued = now.saturating_sub(self.at).as_secs_f64() * self.limit.rate;
+                (self.level + accrued).min(self.most())
+            }
+            _ if self.span(now) == self.span(self.at) => self.most() - self.level,
+            _ => self.most(),
+        }
+    }
+
+    pub fn has_room(&self, now: Duration) -> bool {
+        self.limit.by == LimitBy::None || self.read(now) >= 1.0
+    }
+
+    /// A call comes. If it is above the limit: how long until there is room.
+    pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
+        if self.limit.by == LimitBy::None {
+            return Ok(());
+        }
+        let left = self.read(now);
+        let taken = left >= 1.0;
+        // Refused calls that count dig no deeper than one burst.
+        let least = if self.limit.by == LimitBy::Rate { -self.most() } else { 0.0 };
+        let used = if taken || self.limit.refused_count { 1.0 } else { 0.0 };
+        let left = (left - used).max(least);
+        self.level = if self.limit.by == LimitBy::Rate { left } else { self.most() - left };
+        self.at = now;
+        if taken { Ok(()) } else { Err(self.room_in(now)) }
+    }
+
+    fn room_in(&self, now: Duration) -> Duration {
+        match self.limit.by {
+            LimitBy::Rate => Duration::from_secs_f64(((1.0 - self.read(now)) / self.limit.rate).max(0.0)),
+            _ => {
+                let next = (self.span(now) + 1) * self.limit.span.as_micros();
+                Duration::from_micros(next as u64).saturating_sub(now)
+            }
+        }
+    }
+
+    /// Share of the limit that is left, and the limit in calls a second.
+    pub fn report(&self, now: Duration) -> Option<(f64, f64)> {
+        let limited = self.limit.by != LimitBy::None;
+        limited.then(|| ((self.read(now) / self.most()).clamp(0.0, 1.0), self.limit.rate))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn gauge(by: LimitBy, refused_count: bool) -> Gauge {
+        Gauge::new(&Limit { by, rate: 4.0, span: Duration::from_secs(1), refused_count, tells: 1.0 })
+    }
+
+    #[test]
+    fn a_told_wait_is_honest_also_where_refused_calls_use_the_limit_up() {
+        for by in [LimitBy::Rate, LimitBy::Span] {
+            for refused_count in [false, true] {
+                let mut gauge = gauge(by, refused_count);
+                let now = Duration::from_millis(1300);
+                while gauge.take(now).is_ok() {}
+                let wait = gauge.take(now).unwrap_err();
+                assert!(!wait.is_zero());
+                let just_before = now + wait - Duration::from_millis(1);
+                assert!(!gauge.has_room(just_before), "{by:?}: a shorter wait would have done");
+                assert!(gauge.has_room(now + wait + Duration::from_micros(1)), "{by:?}: the wait was a lie");
+            }
+        }
+    }
+
+    #[test]
+    fn refused_calls_that_count_keep_a_rate_shut_for_longer() {
+        let (mut kind, mut strict) = (gauge(LimitBy::Rate, false), gauge(LimitBy::Rate, true));
+        let now = Duration::from_secs(1);
+        let refusals = |gauge: &mut Gauge| (0..7).filter_map(|_| gauge.take(now).err()).last();
+        assert!(refusals(&mut strict) > refusals(&mut kind));
+    }
+}
--- /dev/null
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -0,0 +1,354 @@
+//! The model of receivers: destinations and their endpoints, as senders meet them. No I/O and no clock: time is
+//! handed in, and every answer is known the moment a call's last byte comes, with the time at which it is due.
+//! The same code answers in both modes.
+
+mod limit;
+mod recovery;
+mod weather;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use rand::Rng;
+use rand::prelude::Distribution;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::LogNormal;
+use sailcart::{DestinationId, EndpointId};
+
+use crate::experiment::{Destinations, Repeat, Spoil};
+use crate::plan::{OriginId, Plan, chance};
+use limit::Gauge;
+use recovery::Recovery;
+pub use weather::{Conditions, Weather};
+
+/// How a connection attempt fares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Connect {
+    Refused,
+    Never,
+    /// It stands; the first call on it starts so much later.
+    Up(Duration),
+}
+
+/// One packet of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Piece {
+    pub origin: OriginId,
+    pub repeat: Repeat,
+    pub memory: Duration,
+}
+
+/// What a call is answered, as a whole or for each packet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Done,
+    Error,
+    /// Turned away unseen, perhaps with a wait.
+    Full(Option<Duration>),
+    /// The connection breaks.
+    Reset,
+    /// Each packet's own, where they differ, and a wait that binds the same way.
+    Mixed(Vec<PieceAnswer>, Option<Duration>),
+    /// Its packets took effect, and what is written cannot be read.
+    Spoilt(Spoil),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PieceAnswer {
+    Accepted,
+    Fault,
+    Deferred,
+}
+
+/// What becomes of a call whose last byte has come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reception {
+    /// When it is answered, and what; `None` if never.
+    pub answer: Option<(Duration, Answer)>,
+    /// Which of its packets take effect, in their order.
+    pub effects: Vec<bool>,
+    /// Share of the limit that is left, and the limit, where answers tell it.
+    pub report: Option<(f64, f64)>,
+    /// This call pushed a cold destination over.
+    pub fell: bool,
+}
+
+/// What senders share at a destination or, where routes are apart, at an endpoint.
+struct Gate {
+    gauge: Gauge,
+    recovery: Recovery,
+}
+
+struct Endpoint {
+    destination: DestinationId,
+    gate: usize,
+    /// When each of its servers is free.
+    free_at: Vec<Duration>,
+    /// Starts of calls that wait or have waited.
+    starts: VecDeque<Duration>,
+    connections: usize,
+}
+
+pub struct Receivers {
+    weather: Weather,
+    endpoints: Vec<Endpoint>,
+    gates: Vec<Gate>,
+    /// Packets that took effect and may do so again, by destination; when they are forgotten.
+    remembered: BTreeMap<(DestinationId, OriginId), Duration>,
+    rng: ChaCha8Rng,
+}
+
+impl Receivers {
+    pub fn new(plan: &Plan) -> Self {
+        let (mut gates, mut endpoints) = (Vec::new(), Vec::<Endpoint>::new());
+        let mut shared: BTreeMap<DestinationId, usize> = BTreeMap::new();
+        let weather = Weather::new(plan);
+        for place in &plan.places {
+            let group = plan.group(place.destination);
+            let destination = plan.destination(place.destination);
+            let mut open = || {
+                let capacity = destination.capacity;
+                let outages = weather.outages(place.endpoint);
+                gates.push(Gate {
+                    gauge: Gauge::new(&group.limit),
+                    recovery: Recovery::new(&plan.experiment.rules, capacity, outages),
+                });
+                gates.len() - 1
+            };
+            let gate = if plan.own_limits(place.destination) {
+                open()
+            } else {
+                *shared.entry(place.destination).or_insert_with(open)
+            };
+            endpoints.push(Endpoint {
+                destination: place.destination,
+                gate,
+                free_at: vec![Duration::ZERO; group.servers],
+                starts: VecDeque::new(),
+                connections: 0,
+            });
+        }
+        let rng = chance(plan.seed, 4);
+        Receivers { weather, endpoints, gates, remembered: BTreeMap::new(), rng }
+    }
+
+    /// A sender wants a connection. One that stands counts until [`Receivers::disconnected`].
+    pub fn connect(&mut self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Connect {
+        let place = plan.place(endpoint);
+        let group = plan.group(place.destination);
+        let conditions = self.weather.at(now, endpoint);
+        let own = &mut self.endpoints[endpoint.0 as usize];
+        if conditions.black_hole {
+            return Connect::Never;
+        }
+        let there = place.from <= now && now < place.gone;
+        let fallen = self.gates[own.gate].recovery.fallen();
+        if !there || conditions.down || fallen || own.connections >= group.connections {
+            return Connect::Refused;
+        }
+        own.connections += 1;
+        Connect::Up(group.handshake)
+    }
+
+    pub fn disconnected(&mut self, endpoint: EndpointId) {
+        let own = &mut self.endpoints[endpoint.0 as usize];
+        own.connections = own.connections.saturating_sub(1);
+    }
+
+    /// Whether an open connection to it still carries anything.
+    pub fn reachable(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> bool {
+        let place = plan.place(endpoint);
+        let fallen = self.gates[self.endpoints[endpoint.0 as usize].gate].recovery.fallen();
+        now < place.gone && !fallen && !self.weather.at(now, endpoint).down
+    }
+
+    /// When anything about it next changes by itself.
+    pub fn next_change(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Option<Duration> {
+        let place = plan.place(endpoint);
+        let own = [place.from, place.gone].into_iter().filter(|at| *at > now && *at < Duration::MAX);
+        own.chain(self.weather.next_change(now, endpoint)).min()
+    }
+
+    pub fn conditions(&self, now: Duration, endpoint: EndpointId) -> Conditions {
+        self.weather.at(now, endpoint)
+    }
+
+    /// Whether a connection breaks before a call's last byte.
+    pub fn cuts_before(&mut self, now: Duration, endpoint: EndpointId) -> bool {
+        let share = self.weather.at(now, endpoint).reset_before;
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    /// A call's last byte has come: it begins.
+    pub fn arrive(
+        &mut self,
+        plan: &Plan,
+        now: Duration,
+        endpoint: EndpointId,
+        pieces: &[Piece],
+    ) -> Reception {
+        let conditions = self.weather.at(now, endpoint);
+        let group = plan.group(self.endpoints[endpoint.0 as usize].destination);
+        let gate = self.endpoints[endpoint.0 as usize].gate;
+        let none = vec![false; pieces.len()];
+        if !self.reachable(plan, now, endpoint) {
+            return Reception {
+                answer: Some((now, Answer::Reset)),
+                effects: none,
+                report: None,
+                fell: false,
+            };
+        }
+        let Gate { gauge, recovery } = &mut self.gates[gate];
+        if recovery.push(now) {
+            return Reception { answer: Some((now, Answer::Reset)), effects: none, report: None, fell: true };
+        }
+        let soon = now + Duration::from_millis(2);
+        let full = |wait, report| Reception {
+            answer: Some((soon, Answer::Full(wait))),
+            effects: vec![false; pieces.len()],
+            report,
+            fell: false,
+        };
+        if let Some((until, tells)) = conditions.shut {
+            let tells = tells > 0.0 && self.rng.random_bool(tells);
+            return full(tells.then(|| until.saturating_sub(now)), None);
+        }
+        if conditions.drains && now >= conditions.drained {
+            return full(None, None);
+        }
+        let room = gauge.take(now);
+        let report = group.report.then(|| gauge.report(now)).flatten();
+        if let Err(wait) = room {
+            let tells = group.limit.tells > 0.0 && self.rng.random_bool(group.limit.tells);
+            return full(tells.then_some(wait), report);
+        }
+        let fresh: Vec<bool> = pieces.iter().map(|piece| self.is_fresh(now, endpoint, piece)).collect();
+        if conditions.errors > 0.0 && self.rng.random_bool(conditions.errors) {
+            // It failed somewhere on the way: for half of them after the work was done.
+            let ran = self.rng.random_bool(0.5);
+            let effects: Vec<bool> = fresh.iter().map(|fresh| *fresh && ran).collect();
+            self.remember(now, endpoint, pieces, &effects);
+            return Reception { answer: Some((soon, Answer::Error)), effects, report, fell: false };
+        }
+        let Some(finish) = self.work(plan, now, endpoint, &conditions, group, &fresh) else {
+            return full(None, report);
+        };
+        let mut effects = fresh;
+        let answer = self.answer(&conditions, pieces, &mut effects);
+        self.remember(now, endpoint, pieces, &effects);
+        let down = self.weather.next_down(now, endpoint).filter(|down| *down < finish);
+        let answer = match answer {
+            _ if conditions.silent => None,
+            // It dies with the call at work.
+            _ if down.is_some() => down.map(|down| (down, Answer::Reset)),
+            Some(answer) => Some((finish, answer)),
+            None => None,
+        };
+        Reception { answer, effects, report, fell: false }
+    }
+
+    /// How a call at work ends, and which of its packets take effect after all.
+    fn answer(&mut self, conditions: &Conditions, pieces: &[Piece], effects: &mut [bool]) -> Option<Answer> {
+        let mut struck = |share: f64| share > 0.0 && self.rng.random_bool(share);
+        if struck(conditions.answer_lost) {
+            return None;
+        }
+        if struck(conditions.reset_after) {
+            return Some(Answer::Reset);
+        }
+        if let Some((share, manner)) = conditions.spoilt
+            && struck(share)
+        {
+            return Some(Answer::Spoilt(manner));
+        }
+        if pieces.len() < 2 || conditions.partial == 0.0 {
+            return Some(Answer::Done);
+        }
+        let mut each = Vec::with_capacity(pieces.len());
+        for effect in effects.iter_mut() {
+            each.push(match struck(conditions.partial) {
+                false => PieceAnswer::Accepted,
+                true if struck(0.5) => {
+                    *effect = false;
+                    PieceAnswer::Deferred
+                }
+                true => PieceAnswer::Fault,
+            });
+        }
+        let wait = each.contains(&PieceAnswer::Deferred).then_some(conditions.wait);
+        Some(Answer::Mixed(each, wait))
+    }
+
+    /// Whether a packet would take effect: a repeat that is remembered does not.
+    fn is_fresh(&self, now: Duration, endpoint: EndpointId, piece: &Piece) -> bool {
+        let key = (self.endpoints[endpoint.0 as usize].destination, piece.origin);
+        piece.repeat != Repeat::Deduplicated || self.remembered.get(&key).is_none_or(|until| *until < now)
+    }
+
+    fn remember(&mut self, now: Duration, endpoint: EndpointId, pieces: &[Piece], effects: &[bool]) {
+        let destination = self.endpoints[endpoint.0 as usize].destination;
+        let ran = pieces.iter().zip(effects).filter(|(piece, ran)| **ran && !piece.memory.is_zero());
+        for (piece, _) in ran {
+            self.remembered.insert((destination, piece.origin), now + piece.memory);
+        }
+    }
+
+    /// A server works on the call; `None` if the queue is full.
+    fn work(
+        &mut self,
+        plan: &Plan,
+        now: Duration,
+        endpoint: EndpointId,
+        conditions: &Conditions,
+        group: &Destinations,
+        fresh: &[bool],
+    ) -> Option<Duration> {
+        let own = &mut self.endpoints[endpoint.0 as usize];
+        own.starts.retain(|start| *start > now);
+        if own.starts.len() >= group.queue {
+            return None;
+        }
+        let present = self.gates[own.gate].recovery.present(now);
+        let pace = plan.destination(own.destination).pace.mul_f64(conditions.slow / present);
+        let drawn = LogNormal::new(0.0, group.spread.max(0.0)).map_or(1.0, |draw| draw.sample(&mut self.rng));
+        // A repeat is known without the work; each further packet of a call adds a part of one alone.
+        let news = fresh.iter().filter(|fresh| **fresh).count() as f64;
+        let amount = if news == 0.0 { 0.25 } else { 1.0 + 0.25 * (news - 1.0) };
+        let server = own.free_at.iter_mut().min()?;
+        let start = now.max(*server);
+        let finish = start + pace.mul_f64(drawn * amount);
+        *server = finish;
+        if start > now {
+            own.starts.push_back(start);
+        }
+        Some(finish)
+    }
+
+    /// What an onlooker who sees everything knows: when a call that came now would be answered with success.
+    pub fn would_finish(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Option<Duration> {
+        let place = plan.place(endpoint);
+        let own = &self.endpoints[endpoint.0 as usize];
+        let gate = &self.gates[own.gate];
+        let conditions = self.weather.at(now, endpoint);
+        let troubled = conditions.black_hole || conditions.silent || conditions.shut.is_some();
+        let lossy = conditions.errors + conditions.answer_lost + conditions.reset_after > 0.5;
+        let group = plan.group(own.destination);
+        let there = place.from <= now && self.reachable(plan, now, endpoint) && !conditions.drains;
+        if !there || troubled || lossy || !gate.gauge.has_room(now) || !gate.recovery.has_room(now) {
+            return None;
+        }
+        let waiting = own.starts.iter().filter(|start| **start > now).count();
+        if waiting >= group.queue || own.connections >= group.connections {
+            return None;
+        }
+        let start = own.free_at.iter().min().copied().unwrap_or_default().max(now);
+        let pace = plan.destination(own.destination).pace;
+        Some(start + pace.mul_f64(conditions.slow / gate.recovery.present(now)))
+    }
+
+    /// Whether two endpoints share what senders must keep to.
+    pub fn gate(&self, endpoint: EndpointId) -> usize {
+        self.endpoints[endpoint.0 as usize].gate
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -380,8 +380,8 @@
         self.lanes.retain(|id, _| self.destinations.get(&id.0).is_some_and(|d| d.lanes.contains(id)));
     }
 
-    /// A packet is handed in, or back after a restart: it keeps its dispatches, its doubt and, while a call of
-    /// the life before may still run, its key's rest. Its times count from when it was first handed in anywhere.
+    /// A packet is handed in, or back after a restart: it keeps its dispatches, its doubt and, while a call
+    /// of the life before may still run, its key's rest. Its times count from its first handing in anywhere.
     pub fn take(&mut self, now: Duration, packet: Packet) {
         self.now = now.max(self.now);
         let trade = self.figures.trades[packet.category.0];
@@ -474,7 +474,7 @@
                 lane.note_full(now, call.sent, chance, room, figures);
             }
             Outcome::NoSlot | Outcome::Moot => {}
-            // A peer that closes early is no outage: connects that are refused soon tell of one. Harm: until then.
+            // A peer that closes early is no outage: refused connects soon tell of one. Harm: until then.
             Outcome::Reset if !figures.thin => lane.note_loss(now, BROKEN, figures),
             _ => {
                 losses.add(now, figures.soft * 8);
