--- a/crates/sailcart-lab/src/main.rs
+++ b/crates/sailcart-lab/src/main.rs
@@ -1,13 +1,15 @@
 //! The command line, nothing else.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 use sailcart_lab::experiment::{self, Experiment, Mode};
+use sailcart_lab::plan::Plan;
 use sailcart_lab::policies::PolicyName;
 use sailcart_lab::results::{Outcome, compare};
-use sailcart_lab::{run, shipped};
+use sailcart_lab::{run, shipped, sockets};
 
 /// The laboratory of sailcart: emulated receivers, load, a watcher of the rules, reports.
 #[derive(Parser)]
@@ -65,6 +67,39 @@
         #[arg(long, value_name = "KEY=VALUE")]
         set: Vec<String>,
     },
+    /// The receivers of an experiment alone, with discovery, for trying a sender by hand
+    Receivers {
+        file: String,
+        /// Where discovery listens
+        #[arg(long, default_value = "127.0.0.1:8500")]
+        discovery: SocketAddr,
+        /// Where the sender will listen
+        #[arg(long, default_value = "127.0.0.1:6379")]
+        sender: SocketAddr,
+        /// Where the sender's configuration and its state go
+        #[arg(long, default_value = "lab-sender")]
+        folder: PathBuf,
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+    },
+    /// The load of an experiment alone, at a sender that runs
+    Load {
+        file: String,
+        #[arg(long)]
+        to: SocketAddr,
+        #[arg(long, default_value = "lab-results")]
+        out: PathBuf,
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+    },
+    /// Becomes a sender that ends with the process PARENT; the lab calls this itself
+    #[command(hide = true)]
+    Keep {
+        parent: i32,
+        program: PathBuf,
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<String>,
+    },
     /// The experiments that are shipped
     List,
     /// Say in words what an experiment does
@@ -132,6 +167,21 @@
             Ok(true)
         }
         Command::Table { file, runs, set } => table(&find(&file, &set)?, runs),
+        Command::Receivers { file, discovery, sender, folder, set } => {
+            let experiment = find(&file, &set)?;
+            let plan = Plan::new(experiment.clone(), experiment.seed).map_err(|fault| fault.0)?;
+            sockets::receivers(&plan, discovery, sender, &folder).map_err(|fault| fault.0)?;
+            Ok(true)
+        }
+        Command::Load { file, to, out, set } => {
+            let experiment = find(&file, &set)?;
+            let plan = Plan::new(experiment.clone(), experiment.seed).map_err(|fault| fault.0)?;
+            let outcome = sockets::load(&plan, to, &mut |_| {}).map_err(|fault| fault.0)?;
+            outcome.write(&out).map_err(|e| e.to_string())?;
+            println!("{}", load_line(&outcome));
+            Ok(true)
+        }
+        Command::Keep { parent, program, words } => Err(sockets::keep(parent, &program, &words).to_string()),
         Command::List => {
             for (name, text) in shipped::ALL {
                 let experiment = experiment::read_text(text, &[]).map_err(|fault| fault.0)?;
@@ -164,6 +214,19 @@
     Ok(outcome.rules_kept() && outcome.bounds_kept())
 }
 
+fn load_line(outcome: &Outcome) -> String {
+    let figure = |name| outcome.figure(name);
+    format!(
+        "{:.0} packets in {:.0} s, {:.0} dismissed; client's answer p50 {:.2} ms, p99 {:.2} ms, p99.9 {:.2} ms",
+        figure("handed_in"),
+        outcome.span_s,
+        figure("dismissed"),
+        figure("answer_p50_ms"),
+        figure("answer_p99_ms"),
+        figure("answer_p999_ms")
+    )
+}
+
 /// Every policy on every seed, and how far apart they are.
 fn table(experiment: &Experiment, runs: u64) -> Held {
     println!(
--- a/crates/sailcart-lab/src/plan.rs
+++ b/crates/sailcart-lab/src/plan.rs
@@ -89,6 +89,7 @@
     pub standing: Standing,
 }
 
+#[derive(Clone)]
 pub struct Plan {
     pub experiment: Experiment,
     pub seed: u64,
@@ -178,6 +179,13 @@
         at
     }
 
+    /// Until when a client hands a packet in again: while it is wanted, and a keyed one while its key is known.
+    pub fn comes_again_until(&self, origin: OriginId) -> Duration {
+        let origin = &self.origins[origin.0];
+        let category = self.category(origin.category);
+        origin.at + category.memory.map_or(category.patience, |memory| memory.min(category.patience))
+    }
+
     pub fn credit(&self, origin: &Origin, after: Duration) -> f64 {
         let category = self.category(origin.category);
         if after > category.patience {
--- a/crates/sailcart-lab/src/policies/baseline.rs
+++ b/crates/sailcart-lab/src/policies/baseline.rs
@@ -100,12 +100,12 @@
         turn.is_none_or(|(queue, rests)| queue.front() == Some(&packet.id) && *rests <= now)
     }
 
-    fn pick(&mut self, now: Duration, to: DestinationId, eyes: &dyn Eyes) -> Option<EndpointId> {
+    fn pick(&mut self, now: Duration, to: DestinationId, also: usize, eyes: &dyn Eyes) -> Option<EndpointId> {
         let live: Vec<EndpointId> = self.of.get(&to).into_iter().flatten().copied().collect();
         let live: Vec<EndpointId> = live.into_iter().filter(|id| self.endpoints[id].live).collect();
         match self.name {
             PolicyName::Oracle => {
-                let finish = |id: &EndpointId| eyes.would_finish(now, *id).map(|at| (at, *id));
+                let finish = |id: &EndpointId| eyes.would_finish(now, *id, also).map(|at| (at, *id));
                 live.iter().filter_map(finish).min().map(|(_, id)| id)
             }
             PolicyName::Breaker => {
@@ -116,6 +116,19 @@
         }
     }
 
+    /// What can still come in time goes first, the first to be wanted before others.
+    fn wanted_first(&mut self, now: Duration) {
+        let rank = |id: &PacketId| {
+            let kept = self.packets.get(id)?;
+            let category = &self.terms.categories[kept.packet.category.0];
+            let soft = kept.packet.ends.saturating_sub(category.patience - category.soft_limit);
+            Some((soft < now + LOOK, soft, *id))
+        };
+        let mut ranked: Vec<_> = self.line.iter().filter_map(rank).collect();
+        ranked.sort();
+        self.line = ranked.into_iter().map(|(_, _, id)| id).collect();
+    }
+
     fn after(&mut self, now: Duration, dispatches: u32) -> Duration {
         match self.name {
             PolicyName::Backoff => {
@@ -203,6 +216,10 @@
 
     fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host) {
         let (mut looked, mut wake) = (VecDeque::new(), Duration::MAX);
+        let mut chosen: BTreeMap<DestinationId, usize> = BTreeMap::new();
+        if self.name == PolicyName::Oracle {
+            self.wanted_first(now);
+        }
         while let Some(id) = self.line.pop_front() {
             let Some(kept) = self.packets.get(&id).filter(|kept| kept.state == State::Held) else { continue };
             let repeat = self.terms.categories[kept.packet.category.0].repeat;
@@ -214,7 +231,8 @@
                 continue;
             }
             let ready = not_before <= now && self.out < self.terms.slots && self.in_turn(now, &packet);
-            let endpoint = if ready { self.pick(now, packet.destination, eyes) } else { None };
+            let also = chosen.get(&packet.destination).copied().unwrap_or(0);
+            let endpoint = if ready { self.pick(now, packet.destination, also, eyes) } else { None };
             let Some(endpoint) = endpoint else {
                 let look = if not_before > now { not_before } else { now + LOOK };
                 wake = wake.min(look).min(last);
@@ -231,6 +249,7 @@
                 kept.packet.dispatches += 1;
                 kept.state = State::Out(endpoint);
             }
+            *chosen.entry(packet.destination).or_default() += 1;
             self.out += 1;
             self.endpoints.entry(endpoint).or_default().out += 1;
             host.dispatch(id, endpoint, time_out);
--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -49,8 +49,9 @@
 
 /// What only the oracle may look at.
 pub trait Eyes {
-    /// When a call that came now would be answered with success, if it would.
-    fn would_finish(&self, now: Duration, endpoint: EndpointId) -> Option<Duration>;
+    /// When a call that came now, behind those on their way and `also` others, would be answered with success, if
+    /// it would.
+    fn would_finish(&self, now: Duration, endpoint: EndpointId, also: usize) -> Option<Duration>;
 }
 
 /// One sender's decisions; the calls of [`Sender`], and what a baseline needs in their place.
--- a/crates/sailcart-lab/src/shipped.rs
+++ b/crates/sailcart-lab/src/shipped.rs
@@ -24,6 +24,8 @@
     "bad-clients",
     "grown",
     "tenfold",
+    "first-try",
+    "steady",
 );
 
 pub fn explain(experiment: &Experiment) -> Result<String, Fault> {
--- /dev/null
+++ b/crates/sailcart-lab/src/sockets/clients.rs
@@ -0,0 +1,213 @@
+//! Clients: each packet is handed in at its intended moment, whatever became of those before it, and its answer is
+//! timed from that moment.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use super::process::Crew;
+use super::stage::Stage;
+use super::wording::put;
+use crate::plan::{OriginId, SenderId, Struck, chance};
+use crate::results::tally::Count;
+use crate::watcher::{End, Seen};
+
+/// How long a client waits for its answer.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// How long it stays away from a sender that could not be reached.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+/// An error or a close must come within this to what cannot be read.
+const RUDE: Duration = Duration::from_secs(3);
+/// Answers are short.
+const MOST_ANSWER: usize = 512;
+
+pub struct Clients {
+    stage: Rc<Stage>,
+    crew: Rc<Crew>,
+    idle: RefCell<HashMap<SenderId, Vec<TcpStream>>>,
+    rng: RefCell<ChaCha8Rng>,
+}
+
+/// What a client heard.
+enum Heard {
+    Taken,
+    Dismissed(Duration),
+    /// An answer that is neither.
+    Error,
+}
+
+impl Clients {
+    pub fn new(stage: &Rc<Stage>, crew: &Rc<Crew>) -> Rc<Clients> {
+        let rng = RefCell::new(chance(stage.plan.seed, 6));
+        Rc::new(Clients { stage: stage.clone(), crew: crew.clone(), idle: RefCell::default(), rng })
+    }
+
+    pub async fn hand_all_in(self: Rc<Self>) {
+        let again = self.clone();
+        spawn_local(async move { again.again().await });
+        for (number, origin) in self.stage.plan.origins.iter().enumerate() {
+            if origin.at > self.stage.now() {
+                sleep_until(self.stage.instant(origin.at)).await;
+            }
+            spawn_local(self.clone().hand_in(OriginId(number), 0, origin.at));
+        }
+    }
+
+    /// Those whose packets were dismissed come again.
+    async fn again(self: Rc<Self>) {
+        loop {
+            sleep(Duration::from_millis(20)).await;
+            let now = self.stage.now();
+            let due = {
+                let mut all = self.stage.again.borrow_mut();
+                let (due, later): (Vec<_>, Vec<_>) = all.drain(..).partition(|(_, _, at)| *at <= now);
+                *all = later;
+                due
+            };
+            for (origin, tries, at) in due {
+                spawn_local(self.clone().hand_in(origin, tries, at));
+            }
+        }
+    }
+
+    /// By key where it has one, so that one sender gets all of a key while it runs; else any.
+    fn choose(&self, id: OriginId) -> Option<SenderId> {
+        let up = self.crew.taking();
+        match self.stage.plan.origins[id.0].key {
+            Some(key) => up.get((key.0.wrapping_mul(0x9e37_79b9) >> 7) as usize % up.len().max(1)).copied(),
+            None => up.choose(&mut *self.rng.borrow_mut()).copied(),
+        }
+    }
+
+    async fn hand_in(self: Rc<Self>, origin: OriginId, tries: u32, intended: Duration) {
+        let plan = &self.stage.plan;
+        let wanted = &plan.origins[origin.0];
+        let ends = wanted.at + plan.category(wanted.category).patience;
+        loop {
+            let now = self.stage.now();
+            if now >= ends {
+                return;
+            }
+            let Some(sender) = self.choose(origin) else {
+                sleep(ELSEWHERE).await;
+                continue;
+            };
+            let Some((mut stream, fresh)) = self.connection(sender).await else {
+                sleep(ELSEWHERE).await;
+                continue;
+            };
+            let packet = self.stage.hand(origin, sender, tries);
+            let bytes = put(plan, origin, packet.0, ends - now);
+            let mut said = say(&mut stream, &bytes).await;
+            if said.is_err() && !fresh {
+                // Closed between two commands: once more on a new connection.
+                if let Ok(mut new) = TcpStream::connect(self.crew.address(sender)).await {
+                    said = say(&mut new, &bytes).await;
+                    stream = new;
+                }
+            }
+            let Ok(heard) = said else {
+                self.stage.abandoned(packet);
+                sleep(ELSEWHERE).await;
+                continue;
+            };
+            let from = if tries == 0 { wanted.at } else { intended };
+            self.stage.tally.borrow_mut().answered(self.stage.now().saturating_sub(from));
+            match heard {
+                Heard::Taken => self.stage.taken(packet),
+                Heard::Dismissed(wait) => self.stage.ended(packet, End::Dismissed, wait),
+                Heard::Error => {
+                    log::warn!("packet {}: code=error_answer", packet.0);
+                    self.stage.see(Seen::Ended(packet, End::Dismissed));
+                    self.stage.abandoned(packet);
+                }
+            }
+            self.idle.borrow_mut().entry(sender).or_default().push(stream);
+            return;
+        }
+    }
+
+    /// A kept connection, or a new one; whether it is new.
+    async fn connection(&self, sender: SenderId) -> Option<(TcpStream, bool)> {
+        let kept = self.idle.borrow_mut().get_mut(&sender).and_then(Vec::pop);
+        if let Some(kept) = kept {
+            return Some((kept, false));
+        }
+        let new = timeout(PATIENCE, TcpStream::connect(self.crew.address(sender))).await.ok()?.ok()?;
+        new.set_nodelay(true).ok()?;
+        Some((new, true))
+    }
+}
+
+/// One command and its answer.
+async fn say(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<Heard> {
+    let turn = async {
+        stream.write_all(bytes).await?;
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\r\n") {
+            if answer.len() > MOST_ANSWER {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            if stream.read_buf(&mut answer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let line = String::from_utf8_lossy(&answer);
+        let words: Vec<&str> = line.split_whitespace().collect();
+        Ok(match words.as_slice() {
+            ["-BUSY"] => Heard::Dismissed(Duration::ZERO),
+            ["-BUSY", ms] => Heard::Dismissed(Duration::from_millis(ms.parse().unwrap_or(0))),
+            [first, ..] if first.starts_with('-') => Heard::Error,
+            _ => Heard::Taken,
+        })
+    };
+    timeout(PATIENCE, turn).await?
+}
+
+/// What cannot be read, in turn.
+fn garbage(nth: usize, rng: &mut ChaCha8Rng) -> Vec<u8> {
+    match nth % 6 {
+        0 => (0..200).map(|_| rng.random()).collect(),
+        1 => b"*5\r\n$7\r\nMSG.PUT\r\n$-9\r\n".to_vec(),
+        2 => b"*1000000000\r\n".to_vec(),
+        3 => b"*5\r\n$7\r\nMSG.PUT\r\n$3000000000\r\n".to_vec(),
+        4 => b"GET / HTTP/1.1\r\nHost: somewhere\r\n\r\n".to_vec(),
+        _ => b"*5\r\n$7\r\nMSG.PUT\r\n$16\r\n00000000".to_vec(), // and then nothing more
+    }
+}
+
+/// Clients that send what cannot be read, so many a second; each must hear an error or a close within three
+/// seconds.
+pub async fn rude(stage: Rc<Stage>, crew: Rc<Crew>, struck: Struck) {
+    sleep_until(stage.instant(struck.from)).await;
+    let gap = Duration::from_secs(1) / struck.trouble.count.unwrap_or(10).max(1) as u32;
+    let mut rng = chance(stage.plan.seed, 7);
+    let mut nth = 0;
+    while stage.now() < struck.until {
+        let bytes = garbage(nth, &mut rng);
+        let sender = struck.senders[nth % struck.senders.len()];
+        let (stage, address) = (stage.clone(), crew.address(sender));
+        spawn_local(async move {
+            let Ok(mut stream) = TcpStream::connect(address).await else { return };
+            if stream.write_all(&bytes).await.is_err() {
+                return;
+            }
+            let mut answer = [0u8; 256];
+            if timeout(RUDE, stream.read(&mut answer)).await.is_err() {
+                stage.tally.borrow_mut().count(Count::Ignored);
+            }
+        });
+        nth += 1;
+        sleep(gap).await;
+    }
+}
