--- a/crates/sailcart-lab/src/policies/baseline.rs
+++ b/crates/sailcart-lab/src/policies/baseline.rs
@@ -17,6 +17,8 @@
 const BREAKER: (u32, Duration) = (5, Duration::from_secs(5));
 /// How often the oracle looks again at packets that nobody would take just now.
 const LOOK: Duration = Duration::from_millis(20);
+/// Times the expected answer time, after which the oracle holds an answer for lost.
+const LOST: u32 = 8;
 /// Part of the patience at its end in which nothing new goes out.
 const LAST: u32 = 40;
 
@@ -51,6 +53,8 @@
     line: VecDeque<PacketId>,
     endpoints: BTreeMap<EndpointId, Seen>,
     of: BTreeMap<DestinationId, Vec<EndpointId>>,
+    /// The oracle keeps waits that were told: it would be the top otherwise by breaking a rule.
+    waits: BTreeMap<DestinationId, Duration>,
     turns: BTreeMap<sailcart::KeyId, (VecDeque<PacketId>, Duration)>,
     out: usize,
 }
@@ -65,6 +69,7 @@
             line: VecDeque::new(),
             endpoints: BTreeMap::new(),
             of: BTreeMap::new(),
+            waits: BTreeMap::new(),
             turns: BTreeMap::new(),
             out: 0,
         }
@@ -100,19 +105,28 @@
         turn.is_none_or(|(queue, rests)| queue.front() == Some(&packet.id) && *rests <= now)
     }
 
-    fn pick(&mut self, now: Duration, to: DestinationId, also: usize, eyes: &dyn Eyes) -> Option<EndpointId> {
+    fn pick(
+        &mut self,
+        now: Duration,
+        to: DestinationId,
+        also: usize,
+        eyes: &dyn Eyes,
+    ) -> Option<(EndpointId, Option<Duration>)> {
         let live: Vec<EndpointId> = self.of.get(&to).into_iter().flatten().copied().collect();
         let live: Vec<EndpointId> = live.into_iter().filter(|id| self.endpoints[id].live).collect();
         match self.name {
             PolicyName::Oracle => {
+                if self.waits.get(&to).is_some_and(|until| *until > now) {
+                    return None;
+                }
                 let finish = |id: &EndpointId| eyes.would_finish(now, *id, also).map(|at| (at, *id));
-                live.iter().filter_map(finish).min().map(|(_, id)| id)
+                live.iter().filter_map(finish).min().map(|(at, id)| (id, Some((at - now) * LOST)))
             }
             PolicyName::Breaker => {
                 let open = |id: &&EndpointId| self.endpoints[id].open_until <= now;
-                live.iter().filter(open).min_by_key(|id| (self.endpoints[id].out, **id)).copied()
+                live.iter().filter(open).min_by_key(|id| (self.endpoints[id].out, **id)).map(|id| (*id, None))
             }
-            _ => live.choose(&mut self.rng).copied(),
+            _ => live.choose(&mut self.rng).map(|id| (*id, None)),
         }
     }
 
@@ -201,7 +215,11 @@
                 *rests = now + self.terms.settle;
             }
         }
-        let dispatches = kept.packet.dispatches;
+        let (dispatches, to) = (kept.packet.dispatches, kept.packet.destination);
+        if let Outcome::Full(Some(wait)) = outcome {
+            let until = self.waits.entry(to).or_default();
+            *until = (now + wait).max(*until);
+        }
         let again = self.after(now, dispatches);
         if let Some(kept) = self.packets.get_mut(&id) {
             kept.not_before = again;
@@ -233,7 +251,7 @@
             let ready = not_before <= now && self.out < self.terms.slots && self.in_turn(now, &packet);
             let also = chosen.get(&packet.destination).copied().unwrap_or(0);
             let endpoint = if ready { self.pick(now, packet.destination, also, eyes) } else { None };
-            let Some(endpoint) = endpoint else {
+            let Some((endpoint, lost)) = endpoint else {
                 let look = if not_before > now { not_before } else { now + LOOK };
                 wake = wake.min(look).min(last);
                 looked.push_back(id);
@@ -245,6 +263,7 @@
                     packet.ends.saturating_sub(now).min(self.terms.categories[packet.category.0].patience / 3)
                 }
             };
+            let time_out = lost.map_or(time_out, |lost| time_out.min(lost));
             if let Some(kept) = self.packets.get_mut(&id) {
                 kept.packet.dispatches += 1;
                 kept.state = State::Out(endpoint);
--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -341,7 +341,7 @@
         let troubled = conditions.black_hole || conditions.silent || conditions.shut.is_some();
         let lossy = conditions.errors + conditions.answer_lost + conditions.reset_after > 0.5;
         let group = plan.group(own.destination);
-        let there = place.from <= now && self.reachable(plan, now, endpoint) && !conditions.drains;
+        let there = place.from <= now && self.reachable(plan, now, endpoint) && now < conditions.drained;
         if !there
             || troubled
             || lossy
@@ -350,13 +350,18 @@
         {
             return None;
         }
-        let waiting = own.starts.iter().filter(|start| **start > now).count();
+        let waiting = own.starts.iter().filter(|start| **start > now).count() + behind;
         if waiting >= group.queue || own.connections >= group.connections {
             return None;
         }
-        let start = own.free_at.iter().min().copied().unwrap_or_default().max(now);
+        let mut free = own.free_at.clone();
+        free.sort();
         let pace = plan.destination(own.destination).pace;
-        Some(start + pace.mul_f64(conditions.slow / gate.recovery.present(now)))
+        let pace = pace.mul_f64(conditions.slow / gate.recovery.present(now));
+        // Those on their way go first, each to the server that is free first.
+        let rounds = pace * (behind / free.len()) as u32;
+        let start = free[behind % free.len()].max(now) + rounds;
+        Some(start + pace)
     }
 
     /// Whether two endpoints share what senders must keep to.
