--- a/crates/sailcart-lab/src/experiment/check.rs
+++ b/crates/sailcart-lab/src/experiment/check.rs
@@ -20,7 +20,8 @@
             Drain => &["destinations", "endpoint"],
             Replace => &["destinations", "endpoint", "same_address"],
             Hot => &["destinations", "share"],
-            ListSilent | Kill | Reload => &["senders"],
+            ListSilent | Reload => &["senders"],
+            Kill => &["senders", "every"],
             Roll => &["senders", "count"],
             BadClients => &["senders", "count"],
         }
@@ -87,6 +88,7 @@
         ("count", trouble.count.is_some()),
         ("manner", trouble.manner.is_some()),
         ("same_address", trouble.same_address.is_some()),
+        ("every", trouble.every.is_some()),
     ];
     if let Some((name, _)) = given.iter().find(|(name, is)| *is && !trouble.kind.takes().contains(name)) {
         return fault(&key(name), &format!("not a key of kind {:?}", trouble.kind));
@@ -94,6 +96,9 @@
     if trouble.lasts.is_zero() {
         return fault(&key("for"), "expected more than 0");
     }
+    if trouble.every.is_some_and(|every| every.is_zero()) {
+        return fault(&key("every"), "expected more than 0");
+    }
     for part in [trouble.share, trouble.tells].into_iter().flatten() {
         share(part, &key("share or tells"))?;
     }
--- a/crates/sailcart-lab/src/experiment/mod.rs
+++ b/crates/sailcart-lab/src/experiment/mod.rs
@@ -495,6 +495,9 @@
     pub manner: Option<Spoil>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub same_address: Option<bool>,
+    /// Again and again, so often.
+    #[serde(default, with = "humantime_serde::option", skip_serializing_if = "Option::is_none")]
+    pub every: Option<Duration>,
 }
 
 impl Spoil {
--- a/crates/sailcart-lab/src/plan.rs
+++ b/crates/sailcart-lab/src/plan.rs
@@ -69,6 +69,23 @@
 }
 
 impl Struck {
+    /// When senders die of it, and for how long. With `every`, each in turn within that span, again and again.
+    pub fn deaths(&self, restart: Duration) -> Vec<(Duration, SenderId, Duration)> {
+        let Some(every) = self.trouble.every else {
+            let down = (self.until - self.from).max(restart);
+            return self.senders.iter().map(|sender| (self.from, *sender, down)).collect();
+        };
+        let mut deaths = Vec::new();
+        let (mut round, count) = (self.from, self.senders.len() as u32);
+        while round < self.until {
+            for (at, sender) in self.senders.iter().enumerate() {
+                deaths.push((round + every * at as u32 / count, *sender, restart));
+            }
+            round += every;
+        }
+        deaths
+    }
+
     pub fn stands(&self, now: Duration) -> bool {
         self.from <= now && now < self.until
     }
--- a/crates/sailcart-lab/src/shipped.rs
+++ b/crates/sailcart-lab/src/shipped.rs
@@ -24,6 +24,7 @@
     "bad-clients",
     "grown",
     "tenfold",
+    "kills",
     "first-try",
     "steady",
 );
--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -258,6 +258,7 @@
             Seen::Fell(gate) => self.restraint.fell(record, *gate),
             Seen::SenderDown(sender) => {
                 record.down.insert(*sender);
+                self.single.down(record, *sender);
                 self.restraint.restarted(*sender);
                 self.order.restarted(record, *sender);
             }
--- a/crates/sailcart-lab/tests/on_sockets.rs
+++ b/crates/sailcart-lab/tests/on_sockets.rs
@@ -85,6 +85,16 @@
     assert!(page.contains("<svg") && page.contains("sender 2"), "pictures, and what each sender cost");
 }
 
+/// A hundred moments: whatever was being written then, nothing taken is lost and nothing is done twice.
+#[test]
+fn a_hundred_kills_under_load_lose_and_double_nothing() {
+    let out = tempfile::tempdir().expect("a folder");
+    let bounds = "bounds=[\"breaches = 0\", \"crashes = 0\", \"kills >= 100\"]";
+    let run = lab(&["run", "kills", "--set", bounds], out.path()).output().expect("the lab");
+    let (said, faults) = (String::from_utf8_lossy(&run.stdout), String::from_utf8_lossy(&run.stderr));
+    assert_eq!(run.status.code(), Some(0), "{said}{faults}");
+}
+
 #[test]
 fn a_bound_missed_is_status_one_and_a_wrong_file_two() {
     let out = tempfile::tempdir().expect("a folder");
--- a/crates/sailcart-sender/src/config.rs
+++ b/crates/sailcart-sender/src/config.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sailcart::Terms;
+use sailcart_store::Sync;
 use sailcart_terms::{Carriage, Fault, Names, member, take_number, take_text};
 use serde_json::Value;
 
@@ -39,10 +40,12 @@
     pub journal: u64,
     /// Packets remembered once they are over.
     pub ended: usize,
+    /// When the journal must outlive the machine's power.
+    pub sync: Sync,
 }
 
 /// Descriptors for all but clients and endpoints: standard streams, the poll, signals, the listener, the
-/// journal and its successor, discovery and notices, each perhaps twice while one replaces the other.
+/// journal's ten files, discovery and notices, each perhaps twice while one replaces the other.
 const OWN_SOCKETS: usize = 32;
 const MB: f64 = 1e6;
 /// Bytes for an id that is remembered, and what stands around it.
@@ -155,9 +158,20 @@
         // Files are counted as memory.
         journal: disk.min(memory / 4.0) as u64,
         ended: (memory / 64.0 / LONG_ID) as usize,
+        sync: sync(limits.and_then(|limits| limits.get("sync")))?,
     })
 }
 
+/// `none` without it, as the platform's folder needs no sync; `each` record, or once a `round`.
+fn sync(value: Option<&Value>) -> Result<Sync, Fault> {
+    match value.map(|value| take_text(value, "sync")).transpose()? {
+        None | Some("none") => Ok(Sync::None),
+        Some("each") => Ok(Sync::Each),
+        Some("round") => Ok(Sync::Every(Duration::ZERO)),
+        Some(other) => Err(format!("expected none, each or round in sync, not {other}").into()),
+    }
+}
+
 /// How a configuration was understood, for a person.
 pub fn summary(mandate: &Mandate) -> String {
     let Mandate { name, listen, discovery, state, terms, bounds, known, .. } = mandate;
--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -43,6 +43,9 @@
     pub called_off: Rc<Notify>,
 }
 
+/// Longer than any destination remembers a key.
+const LONG_AGO: Duration = Duration::from_secs(24 * 3600);
+
 /// The sender's time, which starts early enough for all that the journal tells.
 struct Clock {
     start: Instant,
@@ -51,9 +54,12 @@
 }
 
 impl Clock {
-    fn new(earliest: Option<Unix>) -> Self {
+    /// From the times at which dispatches of earlier lives were sent. Guards against a machine's clock that went
+    /// back since: one that lies ahead was sent at a time unknown, so its key counts as long forgotten.
+    fn new(sent: impl Iterator<Item = Unix>) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let zero = earliest.map_or(unix, |earliest| earliest.0.min(unix));
+        let known = |at: Unix| if at.0 > unix { unix.saturating_sub(LONG_AGO) } else { at.0 };
+        let zero = sent.map(known).min().unwrap_or(unix);
         Clock { start: Instant::now(), lead: unix - zero, zero }
     }
 
@@ -65,6 +71,12 @@
         Unix(self.zero.saturating_add(at))
     }
 
+    /// When a dispatch of an earlier life was sent.
+    fn doubt(&self, unix: Unix) -> Duration {
+        let at = self.since(unix);
+        if at > self.now() { Duration::ZERO } else { at }
+    }
+
     fn since(&self, unix: Unix) -> Duration {
         unix.0.saturating_sub(self.zero)
     }
@@ -100,6 +112,8 @@
     clock: Clock,
     names: Names,
     batches: Vec<usize>,
+    /// By category: no packet has longer, whatever the clock of an earlier life told.
+    patience: Vec<Duration>,
     retry_after: Option<Duration>,
     ledger: Ledger,
     endpoints: HashMap<String, EndpointId>, // those that are listed and live, and no others
@@ -118,11 +132,12 @@
 impl Exchange {
     pub fn new(terms: sailcart::Terms, seed: u64, names: Names, ledger: Ledger) -> Self {
         let stands = ledger.unended().into_iter().map(|packet| ledger.stand(packet.number));
-        let clock = Clock::new(stands.filter_map(|stand| stand.doubt.or(stand.out)).min());
+        let clock = Clock::new(stands.filter_map(|stand| stand.doubt.or(stand.out)));
         let desk = Desk {
             clock,
             names,
             batches: terms.kinds.iter().map(|kind| kind.batch.max(1)).collect(),
+            patience: terms.categories.iter().map(|category| category.patience).collect(),
             retry_after: terms.retry_after,
             ledger,
             endpoints: HashMap::new(),
@@ -149,7 +164,12 @@
     pub fn take_back(&self, packet: &Packet) {
         let Within { sender, desk, .. } = &mut *self.within.borrow_mut();
         match desk.describe(packet) {
-            Ok(taken) => sender.take(desk.clock.now(), taken),
+            Ok(taken) => {
+                let now = desk.clock.now();
+                // Whatever the clock of the life before told, no packet has longer than its patience.
+                let most = now.saturating_add(desk.patience[taken.category.0]);
+                sender.take(now, sailcart::Packet { ends: taken.ends.min(most), ..taken });
+            }
             Err(unknown) => {
                 log::warn!("packet {} scrapped, code=unknown_{unknown}", packet.id);
                 desk.ledger.owe(packet.number, Notice::Scrapped);
@@ -262,6 +282,11 @@
         if !*stopped || !desk.answers.is_empty() {
             sender.decide(desk.clock.now(), desk);
         }
+        if let Err(fault) = desk.ledger.commit() {
+            // What heard +OK must stand; what does can only be read by a new start.
+            log::error!("journal: code=not_synced {fault}; the sender ends");
+            std::process::exit(1);
+        }
         for (_, waiting) in std::mem::take(&mut desk.answers) {
             tell(waiting, Answer::Taken);
         }
@@ -299,7 +324,7 @@
             return Err(Answer::Unknown("destination"));
         }
         desk.ledger.take(packet).map_err(|fault| {
-            log::warn!("packet {} dismissed, code=journal {fault}", put.id);
+            log::debug!("packet {} dismissed, code=journal {fault}", put.id);
             Answer::Dismissed(desk.retry_after)
         })?;
         let number = taken.id;
@@ -364,7 +389,7 @@
             key: packet.about.as_deref().map(key),
             ends: self.clock.since(packet.ends),
             dispatches: stand.dispatches,
-            doubt: stand.doubt.or(stand.out).map(|at| self.clock.since(at)),
+            doubt: stand.doubt.or(stand.out).map(|at| self.clock.doubt(at)),
         })
     }
 
--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod endpoints;
 pub mod exchange;
+pub mod inspect;
 pub mod life;
 pub mod memory;
 pub mod platform;
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -1,8 +1,6 @@
 //! Start: the journal is read and taken over, then clients are let in.
 
-use std::fs::{File, TryLockError};
 use std::io;
-use std::path::Path;
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
@@ -30,8 +28,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?; // from here on it no longer ends the process
-    let _lock = lock(&mandate.state).map_err(|e| name("state", e))?;
-    let ledger = Ledger::open(&mandate.state, mandate.bounds.journal, mandate.bounds.ended);
+    let ledger =
+        Ledger::open(&mandate.state, mandate.bounds.journal, mandate.bounds.ended, mandate.bounds.sync);
     let ledger = ledger.map_err(|e| name("state", e))?;
     let (terms, known, bounds) = (mandate.terms, mandate.known, mandate.bounds);
     // Before the peer, by more than a call takes to get there: one that crosses its close is lost.
@@ -59,19 +57,6 @@
     Ok(())
 }
 
-/// Two senders on one folder would cut each other's records. The lock ends with the process, however that ends.
-fn lock(folder: &Path) -> io::Result<File> {
-    let lock = File::create(folder.join("lock"))?;
-    match lock.try_lock() {
-        Err(TryLockError::WouldBlock) => {
-            let words = format!("{} is in use by another sender", folder.display());
-            Err(io::Error::new(io::ErrorKind::WouldBlock, words))
-        }
-        // A file system that knows no locks must do without.
-        Ok(()) | Err(TryLockError::Error(_)) => Ok(lock),
-    }
-}
-
 /// Names the key whose value could not be used.
 fn name(key: &str, fault: io::Error) -> io::Error {
     io::Error::new(fault.kind(), format!("{key}: {fault}"))
--- a/crates/sailcart-sender/src/main.rs
+++ b/crates/sailcart-sender/src/main.rs
@@ -4,13 +4,17 @@
 use std::process::ExitCode;
 
 use lexopt::{Arg, Parser, ValueExt};
-use sailcart_sender::{config, life};
+use sailcart_sender::{config, inspect, life};
 
 const USAGE: &str = "\
 usage: sailcart COMMAND [--config FILE]
+       sailcart store check|show FOLDER
+       sailcart store salvage FOLDER NEW
 
   serve     run a sender until SIGTERM
   check     read and check the configuration, and say how it was understood
+  store     what stands in a state folder, also of a sender that runs; salvage copies what can be read
+            of a damaged one into a new folder, and says what it gives up
   version   print the version
 
 The configuration is the file that --config or ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN,
@@ -28,7 +32,7 @@
 }
 
 fn run() -> Result<(), String> {
-    let (mut command, mut file) = (None, None);
+    let (mut command, mut file, mut rest) = (None, None, Vec::new());
     let mut words = Parser::from_env();
     while let Some(word) = words.next().map_err(|e| e.to_string())? {
         match word {
@@ -38,6 +42,7 @@
             Arg::Value(word) if command.is_none() => {
                 command = Some(word.string().map_err(|e| e.to_string())?)
             }
+            Arg::Value(word) if command.as_deref() == Some("store") => rest.push(PathBuf::from(word)),
             other => return Err(format!("{}\n{USAGE}", other.unexpected())),
         }
     }
@@ -51,6 +56,17 @@
             println!("{}", config::summary(&read().map_err(|fault| fault.0)?));
             Ok(())
         }
+        Some("store") => {
+            let (what, folders) = rest.split_first().ok_or(USAGE)?;
+            let said = match (what.to_str(), folders) {
+                (Some("check"), [folder]) => inspect::check(folder),
+                (Some("show"), [folder]) => inspect::show(folder),
+                (Some("salvage"), [folder, new]) => inspect::salvage(folder, new),
+                _ => return Err(USAGE.to_owned()),
+            };
+            println!("{}", said?);
+            Ok(())
+        }
         Some("version") => {
             println!("sailcart {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -6,14 +6,15 @@
 use std::rc::Rc;
 
 use sailcart::PacketId;
+use sailcart_store::{Change, Disk, Fault, Room, Store, Sync};
 
-use super::journal::{self, Entry, Journal, Record};
+use super::format1;
+use super::records::{self, Form, Record, key};
 use super::{Notice, Packet, Stand, Unix};
 
 struct Kept {
     packet: Rc<Packet>,
     stand: Stand,
-    size: u64,
 }
 
 /// The last packets that are over, and what their clients were told at once where they were not taken on.
@@ -35,86 +36,140 @@
     }
 }
 
+/// Of the room, the part that ids of packets that are over may take.
+const REMEMBERED: u64 = 16;
+/// Bytes that one takes there, about.
+const ID: u64 = 96;
+
 pub struct Ledger {
-    journal: Journal,
+    store: Store<Disk>,
     kept: BTreeMap<PacketId, Kept>,
     owed: BTreeMap<PacketId, (Box<str>, Notice)>,
     numbers: HashMap<Box<str>, PacketId>,
     ended: Ended,
+    /// Those that are over and stand in the store, the first one first.
+    over: VecDeque<PacketId>,
+    most_over: usize,
     next: u64,
-    /// Bytes that the records of all packets and notices take, with room for what they may still need.
-    live: u64,
-    room: u64,
+    /// What packets that are kept may still need beside their own records.
+    reserved: u64,
+    /// The last write failed, and so was told.
+    alarm: Option<&'static str>,
+    /// No room for the last packet that came, and so was told.
+    full: bool,
 }
 
 impl Ledger {
-    /// `room` is all that the folder may hold. The journal is written anew at half of it, and of what it must
-    /// carry over nothing is taken on beyond a quarter, so that both files fit while one replaces the other.
-    /// So many `ended` packets are remembered.
-    pub fn open(folder: &Path, room: u64, ended: usize) -> io::Result<Self> {
-        let (journal, records) = Journal::open(folder, room / 2)?;
-        let (kept, owed) = (BTreeMap::new(), BTreeMap::new());
-        let (numbers, ended) = (HashMap::new(), Ended { most: ended, ..Ended::default() });
-        let mut ledger = Ledger { journal, kept, owed, numbers, ended, next: 0, live: 0, room };
-        for record in records {
-            ledger.replay(record);
+    /// `room` is all that the folder may hold. So many `ended` packets are remembered in memory, and of them as many
+    /// over a restart as a sixteenth of the room holds.
+    ///
+    /// # Errors
+    /// What [`Store::open`] refuses; a journal of another format than 1 beside it.
+    pub fn open(folder: &Path, room: u64, ended: usize, sync: Sync) -> io::Result<Self> {
+        let opened = Store::open(Disk::new(folder), Room { bytes: room, sync });
+        let (store, standing) = opened.map_err(|fault| match fault {
+            Fault::InUse => {
+                let words = format!("{} is in use by another sender", folder.display());
+                io::Error::new(io::ErrorKind::WouldBlock, words)
+            }
+            other => other.into(),
+        })?;
+        if standing.cut > 0 {
+            log::warn!("journal: code=torn {} bytes cut, {} records kept", standing.cut, standing.records);
         }
+        let most_over = ended.min((room / REMEMBERED / ID) as usize);
+        let mut ledger = Ledger {
+            store,
+            kept: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            numbers: HashMap::new(),
+            ended: Ended { most: ended, ..Ended::default() },
+            over: VecDeque::new(),
+            most_over,
+            next: 0,
+            reserved: 0,
+            alarm: None,
+            full: false,
+        };
+        ledger.recover()?;
+        ledger.carry_over(folder)?;
         Ok(ledger)
     }
 
-    fn replay(&mut self, record: Record<Packet>) {
-        match record {
-            Record::Taken(packet) => self.enter(packet),
-            Record::Stands(id, stand) => {
-                self.kept.entry(id).and_modify(|kept| kept.stand = stand);
+    /// Packets come before how they stand and what is owed, by the order of keys.
+    fn recover(&mut self) -> io::Result<()> {
+        let keys: Vec<Box<[u8]>> = self.store.keys(&[], None).map(Box::from).collect();
+        for key in keys {
+            let Some(value) = self.store.get(&key)? else { continue };
+            let record = records::read(&key, &value);
+            match record.ok_or_else(|| unknown(&key))? {
+                Record::Packet(packet) => self.enter(packet),
+                Record::Stand(id, stand) => drop(self.kept.entry(id).and_modify(|kept| kept.stand = stand)),
+                Record::Owed(id, name, notice) => {
+                    self.ended.note(&name, None);
+                    self.enter_owed(id, name, notice);
+                }
+                Record::Over(id, name, told) => {
+                    self.ended.note(&name, told);
+                    self.next = self.next.max(id.0 + 1);
+                    self.over.push_back(id);
+                }
             }
-            Record::Owed(id, name, notice) => {
-                self.leave(id, None);
-                self.enter_owed(id, name, notice);
-            }
-            Record::Over(id) => {
-                self.leave(id, None);
-                self.leave_owed(id);
+        }
+        Ok(())
+    }
+
+    /// A journal of format 1: nothing new is taken before all of it stands here, so that a start cut short in the
+    /// middle does the same again.
+    fn carry_over(&mut self, folder: &Path) -> io::Result<()> {
+        let Some(records) = format1::read(folder)? else { return Ok(()) };
+        let count = records.len();
+        for record in records {
+            match record {
+                format1::Record::Taken(packet) => self.take(packet)?,
+                format1::Record::Stands(id, stand) => self.stands(id, stand)?,
+                format1::Record::Owed(id, _, notice) => self.owe(id, notice),
+                format1::Record::Over(id) => {
+                    self.over(id, None);
+                    self.told(&[id]);
+                }
             }
         }
+        self.store.sync()?;
+        format1::retire(folder)?;
+        log::info!("journal: code=carried_over {count} records of format 1");
+        Ok(())
     }
 
     fn enter(&mut self, packet: Packet) {
-        let size = Self::size(&packet);
-        self.live += size;
+        self.reserved += Self::reserve(&packet);
         self.next = self.next.max(packet.number.0 + 1);
         self.numbers.insert(packet.id.clone(), packet.number);
-        let kept = Kept { packet: Rc::new(packet), stand: Stand::default(), size };
+        let kept = Kept { packet: Rc::new(packet), stand: Stand::default() };
         self.kept.insert(kept.packet.number, kept);
     }
 
     fn leave(&mut self, id: PacketId, told: Option<Notice>) -> Option<Kept> {
         let kept = self.kept.remove(&id)?;
         self.ended.note(&kept.packet.id, told);
-        self.live -= kept.size;
+        self.reserved -= Self::reserve(&kept.packet);
         self.numbers.remove(&kept.packet.id);
         Some(kept)
     }
 
     fn enter_owed(&mut self, id: PacketId, name: Box<str>, notice: Notice) {
         self.next = self.next.max(id.0 + 1);
-        self.live += journal::size(&Record::Owed(id, name.clone(), notice));
         self.owed.insert(id, (name, notice));
     }
 
-    fn leave_owed(&mut self, id: PacketId) -> bool {
-        let Some((name, notice)) = self.owed.remove(&id) else { return false };
-        self.live -= journal::size(&Record::Owed(id, name, notice));
-        true
-    }
-
-    fn size(packet: &Packet) -> u64 {
-        let (start, stand) = (Unix(Default::default()), Stand::default());
-        let stand = Stand { doubt: Some(start), out: Some(start), ..stand };
-        let notice = Notice::Dismissed(Some(Default::default()));
-        journal::size(&Record::Taken(packet))
-            + journal::size(&Record::Stands(packet.number, stand))
-            + journal::size(&Record::Owed(packet.number, packet.id.clone(), notice))
+    /// What a packet may still need: how it stands, and its notice or its being over.
+    fn reserve(packet: &Packet) -> u64 {
+        let (start, notice) = (Unix(Default::default()), Notice::Dismissed(Some(Default::default())));
+        let stand = Stand { doubt: Some(start), out: Some(start), dispatches: 0 };
+        let cost = |form, value: &[u8]| Store::<Disk>::cost(&key(form, packet.number), value);
+        cost(Form::Stand, &records::write_stand(&stand))
+            + cost(Form::Owed, &records::write_owed(&packet.id, &notice))
+            + cost(Form::Over, &records::write_over(&packet.id, Some(&notice)))
     }
 
     /// The number that the next packet gets.
@@ -143,12 +198,22 @@
         self.kept.values().map(|kept| kept.packet.clone()).collect()
     }
 
-    /// Takes a packet on, or tells that it does not fit.
+    /// Takes a packet on, or tells that it does not fit: with all that it may still need.
     pub fn take(&mut self, packet: Packet) -> io::Result<()> {
-        if self.live + Self::size(&packet) > self.room / 4 {
+        let (key, value) = (key(Form::Packet, packet.number), records::write_packet(&packet));
+        let more = Store::<Disk>::cost(&key, &value) + Self::reserve(&packet);
+        if self.store.live() + self.reserved + more > self.store.room().budget() {
+            if !std::mem::replace(&mut self.full, true) {
+                log::warn!(
+                    "journal: code=no_room for more packets; they are dismissed until others are over"
+                );
+            }
             return Err(io::ErrorKind::StorageFull.into());
         }
-        self.write(&Record::Taken(&packet))?;
+        self.write(&[Change::Put(&key, &value)])?;
+        if std::mem::take(&mut self.full) {
+            log::info!("journal: code=room_again");
+        }
         self.enter(packet);
         Ok(())
     }
@@ -158,7 +223,8 @@
         let old = self.stand(id);
         // One that is still out was sent by an earlier life: nobody will hear whether it ran.
         let doubt = old.doubt.or(old.out);
-        self.stands(id, Stand { dispatches: old.dispatches + 1, doubt, out: Some(at) })
+        self.stands(id, Stand { dispatches: old.dispatches + 1, doubt, out: Some(at) })?;
+        self.commit()
     }
 
     /// The dispatch came back.
@@ -172,24 +238,42 @@
         if !self.kept.contains_key(&id) {
             return Ok(());
         }
-        self.write(&Record::Stands(id, stand))?;
+        self.write(&[Change::Put(&key(Form::Stand, id), &records::write_stand(&stand))])?;
         self.kept.entry(id).and_modify(|kept| kept.stand = stand);
         Ok(())
     }
 
     /// The packet is over, and nothing more is owed for it; perhaps its client was told of its end at once.
     pub fn over(&mut self, id: PacketId, told: Option<Notice>) {
-        if self.leave(id, told).is_some() {
-            let written = self.write(&Record::Over(id));
-            warn(written);
+        if let Some(kept) = self.leave(id, told) {
+            self.finish(id, &kept.packet.id, told);
+        }
+    }
+
+    /// Nothing more is owed. Its id stands for a while, so that one that comes again after a restart is known.
+    fn finish(&mut self, id: PacketId, name: &str, told: Option<Notice>) {
+        let ends = [Form::Packet, Form::Stand, Form::Owed].map(|form| key(form, id));
+        let (over, value) = (key(Form::Over, id), records::write_over(name, told.as_ref()));
+        let gone = (self.over.len() >= self.most_over).then(|| self.over.pop_front()).flatten();
+        let gone = gone.map(|first| key(Form::Over, first));
+        let mut changes: Vec<Change> = ends.iter().map(|key| Change::End(key)).collect();
+        changes.extend(gone.iter().map(|key| Change::End(key)));
+        if self.most_over > 0 {
+            changes.push(Change::Put(&over, &value));
+            self.over.push_back(id);
         }
+        let written = self.write(&changes);
+        warn(written);
     }
 
     /// The packet is over, and a notice is owed.
     pub fn owe(&mut self, id: PacketId, notice: Notice) {
         let Some(kept) = self.leave(id, None) else { return };
         let name = kept.packet.id.clone();
-        let written = self.write(&Record::Owed(id, name.clone(), notice));
+        let (packet, stand) = (key(Form::Packet, id), key(Form::Stand, id));
+        let (owed, value) = (key(Form::Owed, id), records::write_owed(&name, &notice));
+        let changes = [Change::End(&packet), Change::End(&stand), Change::Put(&owed, &value)];
+        let written = self.write(&changes);
         warn(written);
         self.enter_owed(id, name, notice);
     }
@@ -201,39 +285,49 @@
     /// The platform has these notices.
     pub fn told(&mut self, ids: &[PacketId]) {
         for id in ids {
-            if self.leave_owed(*id) {
-                let written = self.write(&Record::Over(*id));
-                warn(written);
+            if let Some((name, _)) = self.owed.remove(id) {
+                self.finish(*id, &name, None);
             }
         }
     }
 
-    /// Appends a record. Where it does not fit, the journal is first written anew with only what is still owed.
-    fn write(&mut self, entry: &Entry) -> io::Result<()> {
-        match self.journal.append(entry) {
-            Err(fault) if fault.kind() == io::ErrorKind::StorageFull => {
-                self.rewrite()?;
-                self.journal.append(entry)
+    /// What was written until now outlives the power, where that is asked for: before a round's answers are told,
+    /// and before a call's first byte.
+    ///
+    /// # Errors
+    /// After a failed sync nobody knows what stands: the process must end, so that a new start reads it.
+    pub fn commit(&mut self) -> io::Result<()> {
+        if self.store.wants_sync() { Ok(self.store.sync()?) } else { Ok(()) }
+    }
+
+    /// One line when the disk fails or is full, one when it is well again.
+    fn write(&mut self, changes: &[Change]) -> io::Result<()> {
+        let written = self.store.write(changes);
+        match (&written, self.alarm) {
+            (Err(fault), alarm) if alarm != Some(fault.code()) => {
+                self.alarm = Some(fault.code());
+                log::error!(
+                    "journal: code={} {fault}; nothing is taken until it is written again",
+                    fault.code()
+                );
+            }
+            (Ok(()), Some(_)) => {
+                self.alarm = None;
+                log::info!("journal: code=written_again");
             }
-            written => written,
+            _ => {}
         }
+        written.map_err(Fault::into)
     }
+}
 
-    fn rewrite(&mut self) -> io::Result<()> {
-        let kept = self.kept.values().flat_map(|kept| {
-            let number = kept.packet.number;
-            [Record::Taken(&*kept.packet), Record::Stands(number, kept.stand)]
-        });
-        let owed = self.owed.iter().map(|(id, (name, notice))| Record::Owed(*id, name.clone(), *notice));
-        let before = self.journal.bytes();
-        self.journal.rewrite(kept.chain(owed))?;
-        log::info!("journal: code=rewritten {before} to {} bytes", self.journal.bytes());
-        Ok(())
-    }
+fn unknown(key: &[u8]) -> io::Error {
+    let words = format!("a record of a form that this version does not know ({:?})", key.first());
+    io::Error::new(io::ErrorKind::InvalidData, words)
 }
 
 fn warn(written: io::Result<()>) {
     if let Err(fault) = written {
-        log::error!("journal: code=not_written {fault}");
+        log::debug!("journal: code=not_written {fault}");
     }
 }
--- a/crates/sailcart-sender/src/memory/mod.rs
+++ b/crates/sailcart-sender/src/memory/mod.rs
@@ -1,8 +1,9 @@
 //! What is kept in memory, and in the folder that lasts: packets and notices owed, their journal, connections.
 
-pub mod journal;
+pub mod format1;
 pub mod ledger;
 pub mod pool;
+pub mod records;
 
 use std::time::Duration;
 
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -8,7 +8,11 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use sailcart::DestinationId;
+use sailcart_sender::memory::ledger::Ledger;
+use sailcart_sender::memory::{Packet, Unix};
 
 mod peer;
 
@@ -279,6 +283,36 @@
 
 /// A packet that may not run twice and may have run is given up, and the platform hears of it, if need be from
 /// a later life.
+/// A machine's clock may go back between two lives: a call that seems to lie ahead was sent nobody knows when, and its
+/// packet must not seem to have an hour left in which its key is remembered.
+#[test]
+fn a_call_that_lies_ahead_is_long_forgotten() {
+    let mut world = World::new("clock", |_, _| answer("200 OK", "", ""));
+    world.kill();
+    let ahead = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock") + Duration::from_secs(3600);
+    let mut ledger =
+        Ledger::open(&world.folder, 3_000_000, 100, sailcart_store::Sync::None).expect("a journal");
+    let number = ledger.next();
+    let packet = Packet {
+        number,
+        id: "a1".into(),
+        category: "notice".into(),
+        customer: None,
+        mark: Some("a1".into()),
+        about: None,
+        destination: DestinationId(7),
+        ends: Unix(ahead + Duration::from_secs(20)),
+        body: b"hello"[..].into(),
+    };
+    ledger.take(packet).expect("room");
+    ledger.sends(number, Unix(ahead)).expect("room");
+    drop(ledger);
+    world.start();
+    world.until("its end is told", |world| !world.notices().is_empty());
+    assert!(world.notices()[0].contains("handed_back"), "{:?}", world.notices());
+    assert_eq!(world.came(), [""; 0], "never sent again");
+}
+
 #[test]
 fn an_unrepeatable_packet_in_doubt_is_scrapped_after_sigkill() {
     let mut world = World::new("scrapped", |_, _| {
