sailcart.toml and a command line on clap; a list of destinations in the file

The configuration was the platform's JSON alone, told one fault at a time without a place, and the command line had no help. sailcart.toml is read in the project's words: every fault at once with line and column, found by a walk beside the schema; it becomes what the platform's file holds, checked in one place. A static list needs no discovery and is followed at SIGHUP. clap takes lexopt's place; reference, schema, example, completions, man are generated.

--- a/crates/sailcart-sender/src/config.rs
+++ b/crates/sailcart-sender/src/config/mod.rs
@@ -1,5 +1,9 @@
 //! The one place where configuration is read, checked and given defaults.
 
+pub mod document;
+mod faults;
+pub mod show;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -16,7 +20,7 @@
 pub struct Mandate {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub source: Source,
     /// The folder that lasts.
     pub state: PathBuf,
     pub seed: u64,
@@ -29,6 +33,14 @@
     pub file: Value,
 }
 
+/// Where the list of destinations comes from, and where notices go.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Source {
+    Platform(SocketAddr),
+    /// The list in the configuration; ends are lines of the log.
+    Static,
+}
+
 /// The limits of the machine, shared out.
 #[derive(Debug, PartialEq)]
 pub struct Bounds {
@@ -60,11 +72,33 @@
     let path = path.ok_or("ROUTER_CONFIG: expected the path of a configuration file")?;
     let text =
         std::fs::read_to_string(&path).map_err(|e| format!("configuration {}: {e}", path.display()))?;
+    if path.extension().is_some_and(|ending| ending == "toml") {
+        return check(&document(&path, &text)?.as_platform(), environment);
+    }
     let file: Value =
         serde_json::from_str(&text).map_err(|e| format!("{}: expected JSON: {e}", path.display()))?;
     check(&file, environment)
 }
 
+/// Every fault of a `sailcart.toml`, a line each.
+fn document(path: &Path, text: &str) -> Result<document::Document, Fault> {
+    faults::read(text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect();
+        Fault(lines.join("\n"))
+    })
+}
+
+/// What is in force and where each value came from.
+pub fn in_force(file: Option<PathBuf>, environment: Environment) -> Result<String, Fault> {
+    let mandate = read(file.clone(), environment)?;
+    let path = file.or_else(|| environment("ROUTER_CONFIG").map(PathBuf::from)).unwrap_or_default();
+    if path.extension().is_none_or(|ending| ending != "toml") {
+        return Ok(summary(&mandate));
+    }
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(show::in_force(&document(&path, &text)?, &text, environment))
+}
+
 fn check(file: &Value, environment: Environment) -> Result<Mandate, Fault> {
     let told = |variable: &str, key: &str| -> Result<String, Fault> {
         match environment(variable) {
@@ -83,7 +117,10 @@
     Ok(Mandate {
         name: told("ROUTER_NAME", "name")?,
         listen: address("listen", &told("ROUTER_LISTEN", "listen")?)?,
-        discovery: address("discovery", &told("ROUTER_DISCOVERY", "discovery")?)?,
+        source: match file.get("static") {
+            Some(Value::Bool(true)) => Source::Static,
+            _ => Source::Platform(address("discovery", &told("ROUTER_DISCOVERY", "discovery")?)?),
+        },
         state: folder(&told("ROUTER_STATE", "state")?)?,
         seed: seed(file.get("seed"))?,
         known,
@@ -97,7 +134,7 @@
 
 /// What a running sender takes over of a newer configuration: where discovery is. What the file says of it
 /// anew goes before the environment, which is as old as the process. The rest waits for the next start.
-pub fn moved(old: &Value, new: &Mandate) -> Result<SocketAddr, Fault> {
+pub fn moved(old: &Value, new: &Mandate) -> Result<Source, Fault> {
     let file = &new.file;
     let live = |key: &&String| !["discovery", "known", "seed"].contains(&key.as_str());
     for key in file.as_object().into_iter().flat_map(|file| file.keys()).filter(live) {
@@ -107,9 +144,9 @@
     }
     match file.get("discovery") {
         Some(text) if old.get("discovery") != Some(text) => {
-            address("discovery", take_text(text, "discovery")?)
+            Ok(Source::Platform(address("discovery", take_text(text, "discovery")?)?))
         }
-        _ => Ok(new.discovery),
+        _ => Ok(new.source),
     }
 }
 
@@ -174,10 +211,14 @@
 
 /// How a configuration was understood, for a person.
 pub fn summary(mandate: &Mandate) -> String {
-    let Mandate { name, listen, discovery, state, terms, bounds, known, .. } = mandate;
+    let Mandate { name, listen, source, state, terms, bounds, known, .. } = mandate;
     let Bounds { clients, idle, journal, .. } = bounds;
+    let source = match source {
+        Source::Platform(discovery) => format!("discovery at {discovery}"),
+        Source::Static => "destinations as listed".to_owned(),
+    };
     format!(
-        "{name}: listens on {listen}, discovery at {discovery}, state in {}\n\
+        "{name}: listens on {listen}, {source}, state in {}\n\
          {} slots, {} packets held, {} categories, {} kinds, {} endpoints known\n\
          {clients} client connections, {idle} idle connections to endpoints, {journal} bytes of journal at most",
         state.display(),
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -9,10 +9,10 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::clients::Clients;
-use crate::config::Mandate;
+use crate::config::{Mandate, Source};
 use crate::endpoints::Endpoints;
 use crate::exchange::Exchange;
-use crate::life::reload::{Read, reload};
+use crate::life::reload::{Follows, Read, reload};
 use crate::life::{recovery, stop};
 use crate::memory::ledger::Ledger;
 use crate::memory::pool::Pool;
@@ -37,10 +37,20 @@
     let endpoints = Rc::new(Endpoints::new(pool, terms.connect_time_out));
     let exchange = Rc::new(Exchange::new(terms, mandate.seed, mandate.names, ledger));
     recovery::recover(&exchange, &known);
-    let (moves, place) = watch::channel(mandate.discovery);
-    spawn_local(reload(hang_up, mandate.file, read, moves));
-    spawn_local(platform::follow(place.clone(), known.version, exchange.clone()));
-    spawn_local(platform::notify(place, exchange.clone()));
+    let follows = match mandate.source {
+        Source::Platform(discovery) => {
+            let (moves, place) = watch::channel(discovery);
+            spawn_local(platform::follow(place.clone(), known.version, exchange.clone()));
+            spawn_local(platform::notify(place, exchange.clone()));
+            Follows::Discovery(moves)
+        }
+        Source::Static => {
+            exchange.list(&known);
+            spawn_local(platform::note(exchange.clone()));
+            Follows::Listed(exchange.clone())
+        }
+    };
+    spawn_local(reload(hang_up, mandate.file, read, follows));
     spawn_local(endpoints.clone().sweep());
     spawn_local(exchange.clone().rounds(mandate.carriage.round, endpoints.clone()));
     let listener = TcpListener::bind(mandate.listen).await.map_err(|e| name("listen", e))?;
--- a/crates/sailcart-sender/src/main.rs
+++ b/crates/sailcart-sender/src/main.rs
@@ -3,79 +3,122 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use lexopt::{Arg, Parser, ValueExt};
+use clap::{CommandFactory, Parser, Subcommand};
 use sailcart_sender::{config, inspect, life};
 
-const USAGE: &str = "\
-usage: sailcart COMMAND [--config FILE]
-       sailcart store check|show FOLDER
-       sailcart store salvage FOLDER NEW
+/// A dispatcher of notifications to outside receivers.
+#[derive(Parser)]
+#[command(name = "sailcart", version, after_help = "RUST_LOG sets what is logged (info).")]
+struct Words {
+    #[command(subcommand)]
+    command: Command,
+}
 
-  serve     run a sender until SIGTERM
-  check     read and check the configuration, and say how it was understood
-  store     what stands in a state folder, also of a sender that runs; salvage copies what can be read
-            of a damaged one into a new folder, and says what it gives up
-  version   print the version
+#[derive(Subcommand)]
+enum Command {
+    /// Run a sender until SIGTERM
+    Serve(File),
+    /// Read and check the configuration, and say how it was understood
+    Check(File),
+    /// What can be configured, and what is
+    #[command(subcommand)]
+    Config(Configuration),
+    /// What stands in a state folder, also of a sender that runs
+    #[command(subcommand)]
+    Store(Folder),
+    /// Print the version
+    Version,
+    /// Print completions for a shell
+    Completions { shell: clap_complete::Shell },
+    /// Print the manual page
+    Man,
+}
 
-The configuration is the file that --config or ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN,
-ROUTER_DISCOVERY and ROUTER_STATE go before what it says. RUST_LOG sets what is logged (info).";
+#[derive(clap::Args)]
+struct File {
+    /// sailcart.toml, or the platform's JSON. ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_STATE go
+    /// before what it says
+    #[arg(long = "config", env = "ROUTER_CONFIG", value_name = "FILE")]
+    file: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Configuration {
+    /// What is in force, and where each value came from
+    Show(File),
+    /// A JSON Schema of sailcart.toml
+    Schema,
+    /// A file to begin with
+    Example,
+    /// The reference, as docs/configuration.md has it
+    Reference,
+}
+
+#[derive(Subcommand)]
+enum Folder {
+    /// Whether it can be read, and what is in it: a line
+    Check { folder: PathBuf },
+    /// Each packet that is not over, each notice owed
+    Show { folder: PathBuf },
+    /// Copy what can be read of a damaged folder into a new one, and say what is given up
+    Salvage { folder: PathBuf, new: PathBuf },
+}
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match run() {
+    match carry_out(Words::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(words) => {
-            eprintln!("sailcart: {words}");
+            words.lines().for_each(|line| eprintln!("sailcart: {line}"));
             ExitCode::FAILURE
         }
     }
 }
 
-fn run() -> Result<(), String> {
-    let (mut command, mut file, mut rest) = (None, None, Vec::new());
-    let mut words = Parser::from_env();
-    while let Some(word) = words.next().map_err(|e| e.to_string())? {
-        match word {
-            Arg::Long("config") => file = Some(PathBuf::from(words.value().map_err(|e| e.to_string())?)),
-            Arg::Long("help") | Arg::Short('h') => command = Some("help".to_owned()),
-            Arg::Long("version") | Arg::Short('V') => command = Some("version".to_owned()),
-            Arg::Value(word) if command.is_none() => {
-                command = Some(word.string().map_err(|e| e.to_string())?)
-            }
-            Arg::Value(word) if command.as_deref() == Some("store") => rest.push(PathBuf::from(word)),
-            other => return Err(format!("{}\n{USAGE}", other.unexpected())),
-        }
-    }
-    let read = move || config::read(file.clone(), &|name| std::env::var(name).ok());
-    match command.as_deref() {
-        Some("serve") => {
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn carry_out(command: Command) -> Result<(), String> {
+    let read = |file: File| move || config::read(file.file.clone(), &environment);
+    let said = match command {
+        Command::Serve(file) => {
+            let read = read(file);
             let mandate = read().map_err(|fault| fault.0)?;
-            life::start::serve(mandate, Box::new(read)).map_err(|fault| fault.to_string())
+            return life::start::serve(mandate, Box::new(read)).map_err(|fault| fault.to_string());
         }
-        Some("check") => {
-            println!("{}", config::summary(&read().map_err(|fault| fault.0)?));
-            Ok(())
+        Command::Check(file) => config::summary(&read(file)().map_err(|fault| fault.0)?),
+        Command::Config(what) => configuration(what)?,
+        Command::Store(what) => store(what)?,
+        Command::Version => format!("sailcart {}", env!("CARGO_PKG_VERSION")),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Words::command(), "sailcart", &mut std::io::stdout());
+            return Ok(());
         }
-        Some("store") => {
-            let (what, folders) = rest.split_first().ok_or(USAGE)?;
-            let said = match (what.to_str(), folders) {
-                (Some("check"), [folder]) => inspect::check(folder),
-                (Some("show"), [folder]) => inspect::show(folder),
-                (Some("salvage"), [folder, new]) => inspect::salvage(folder, new),
-                _ => return Err(USAGE.to_owned()),
-            };
-            println!("{}", said?);
-            Ok(())
+        Command::Man => {
+            let page = clap_mangen::Man::new(Words::command());
+            return page.render(&mut std::io::stdout()).map_err(|fault| fault.to_string());
         }
-        Some("version") => {
-            println!("sailcart {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
-        Some("help") => {
-            println!("{USAGE}");
-            Ok(())
+    };
+    println!("{}", said.trim_end());
+    Ok(())
+}
+
+fn configuration(what: Configuration) -> Result<String, String> {
+    match what {
+        Configuration::Show(file) => config::in_force(file.file, &environment).map_err(|fault| fault.0),
+        Configuration::Schema => {
+            serde_json::to_string_pretty(&config::show::schema()).map_err(|e| e.to_string())
         }
-        Some(other) => Err(format!("unknown command {other}\n{USAGE}")),
-        None => Err(USAGE.to_owned()),
+        Configuration::Example => Ok(config::show::EXAMPLE.to_owned()),
+        Configuration::Reference => Ok(config::show::reference()),
+    }
+}
+
+fn store(what: Folder) -> Result<String, String> {
+    match what {
+        Folder::Check { folder } => inspect::check(&folder),
+        Folder::Show { folder } => inspect::show(&folder),
+        Folder::Salvage { folder, new } => inspect::salvage(&folder, &new),
     }
 }
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -146,6 +146,23 @@
     }
 }
 
+/// Without a platform, what would be a notice is a line of the log.
+pub async fn note(exchange: Rc<Exchange>) {
+    loop {
+        let ended = exchange
+            .owed(|owed| owed.map(|(number, id, end)| (number, id.to_owned(), end)).collect::<Vec<_>>());
+        for (_, id, end) in &ended {
+            match end {
+                Notice::Dismissed(_) => log::info!("packet {id}: ended, code=dismissed"),
+                Notice::Scrapped => log::info!("packet {id}: ended, code=scrapped"),
+            }
+        }
+        let numbers: Vec<PacketId> = ended.into_iter().map(|(number, ..)| number).collect();
+        exchange.told(&numbers);
+        exchange.notices.notified().await;
+    }
+}
+
 /// As many lines as one body holds.
 fn lines(owed: &mut dyn Iterator<Item = (PacketId, &str, Notice)>) -> (Vec<PacketId>, String) {
     let (mut ids, mut body) = (Vec::new(), String::new());
--- /dev/null
+++ b/crates/sailcart-sender/tests/listed.rs
@@ -0,0 +1,119 @@
+//! A sender on a list of its own, without a platform.
+
+#[allow(dead_code)]
+mod peer;
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use peer::{answer, listen, put, say};
+
+const EXAMPLE: &str = include_str!("../../../examples/sailcart.toml");
+
+struct World {
+    folder: tempfile::TempDir,
+    at: SocketAddr,
+    sender: Child,
+    came: Arc<Mutex<Vec<String>>>,
+    text: String,
+}
+
+impl World {
+    /// Destination 7 has an endpoint that answers, destination 8 one that is never there.
+    fn new() -> World {
+        let came = Arc::new(Mutex::new(Vec::new()));
+        let own = came.clone();
+        let there = listen("127.0.0.1:0", move |call| {
+            own.lock().expect("no panic").push(call.header("X-Call-Id").to_owned());
+            answer("200 OK", "", "")
+        });
+        let free = |address: &str| {
+            let listener = TcpListener::bind(address).expect("a free address");
+            listener.local_addr().expect("an address")
+        };
+        let (at, closed) = (free("127.84.1.1:0"), free("127.84.1.2:0"));
+        let folder = tempfile::tempdir().expect("a folder");
+        let text = EXAMPLE
+            .replace("examples/state", folder.path().to_str().expect("a plain path"))
+            .replace("127.0.0.1:6379", &at.to_string())
+            .replace("127.0.0.1:7001", &there.to_string())
+            .replace("127.0.0.1:7002\"\ndestination = 7", &format!("{closed}\"\ndestination = 8"))
+            .replace("soft_limit = \"3s\"", "soft_limit = \"400ms\"");
+        let file = folder.path().join("sailcart.toml");
+        fs::write(&file, &text).expect("a file");
+        let log = fs::File::create(folder.path().join("log")).expect("a log");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sailcart"));
+        let sender = command.arg("serve").arg("--config").arg(file).stderr(log).spawn().expect("a sender");
+        let world = World { folder, at, sender, came, text };
+        world.until("it is ready", |world| say(world.at, "*1\r\n$4\r\nPING\r\n").is_ok());
+        world
+    }
+
+    fn until(&self, what: &str, check: impl Fn(&World) -> bool) {
+        let start = Instant::now();
+        while !check(self) {
+            assert!(start.elapsed() < Duration::from_secs(10), "not seen: {what}\n{}", self.log());
+            sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn log(&self) -> String {
+        fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
+    }
+
+    fn put(&self, id: &str, to: u64) -> String {
+        put(self.at, id, &format!("c=notice,t=acme,d=8000,k={id},dest={to}"), "hello").expect("an answer")
+    }
+
+    fn came(&self) -> Vec<String> {
+        self.came.lock().expect("no panic").clone()
+    }
+
+    /// Another file, and the signal to read it.
+    fn reload(&self, text: &str) {
+        fs::write(self.folder.path().join("sailcart.toml"), text).expect("a file");
+        let pid = self.sender.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.sender.kill();
+        let _ = self.sender.wait();
+    }
+}
+
+#[test]
+fn a_list_in_the_file_is_enough() {
+    let world = World::new();
+    assert_eq!(world.put("a1", 7), "+OK");
+    world.until("it is delivered", |world| world.came() == ["a1"]);
+    assert!(world.put("a2", 9).starts_with("-ERR"), "a destination that is not listed");
+}
+
+#[test]
+fn a_list_that_loses_a_destination_ends_what_is_held_for_it() {
+    let world = World::new();
+    assert_eq!(world.put("b1", 8), "+OK");
+    let lost = world.text.find("[[source.endpoints]]\nname = \"e-2\"").expect("one");
+    let end = world.text.find("[[categories]]").expect("one");
+    world.reload(&[&world.text[..lost], &world.text[end..]].concat());
+    world.until("it is read", |world| world.log().contains("1 endpoints listed, code=listed"));
+    world.until("its end is told", |world| world.log().contains("packet b1: ended, code=dismissed"));
+    assert_eq!(world.put("b2", 7), "+OK");
+    world.until("others go on", |world| world.came() == ["b2"]);
+}
+
+#[test]
+fn a_file_half_written_changes_nothing() {
+    let world = World::new();
+    world.reload(&world.text[..world.text.len() / 2]);
+    world.until("it is refused", |world| world.log().contains("the old configuration stays, code=faulty"));
+    assert_eq!(world.put("c1", 7), "+OK");
+    world.until("it is delivered", |world| world.came() == ["c1"]);
+}
