--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -236,8 +236,8 @@
             if *over || *outcome == Outcome::Done {
                 desk.ledger.over(id, None);
             } else if let Err(fault) = desk.ledger.came_back(id, may_have_run(*outcome)) {
-                // What stands in the journal is the worse case: the dispatch may have run.
-                log::error!("journal: code=not_written {fault}");
+                // What stands in the journal is the worse case: the dispatch may have run. The ledger has told of it.
+                log::debug!("journal: code=not_written {fault}");
             }
         }
         self.bell.notify_one();
