--- a/crates/sailcart-sender/tests/listed.rs
+++ b/crates/sailcart-sender/tests/listed.rs
@@ -14,6 +14,11 @@
 
 const EXAMPLE: &str = include_str!("../../../examples/sailcart.toml");
 
+/// No line for each connection: the log is a file too.
+const LOGGED: &str = "info,sailcart_sender::clients=off,sailcart_sender::endpoints=off";
+/// More than the log grows to, and less than the journal.
+const FULL: u64 = 4096;
+
 struct World {
     folder: tempfile::TempDir,
     at: SocketAddr,
@@ -47,7 +52,20 @@
         fs::write(&file, &text).expect("a file");
         let log = fs::File::create(folder.path().join("log")).expect("a log");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sailcart"));
-        let sender = command.arg("serve").arg("--config").arg(file).stderr(log).spawn().expect("a sender");
+        // Ignored here and so in the sender: a write beyond the process's limit of a file's size fails with an error.
+        command = {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", "trap '' XFSZ; exec \"$@\"", "sh"]).arg(command.get_program());
+            shell
+        };
+        let sender = command
+            .arg("serve")
+            .arg("--config")
+            .arg(file)
+            .env("RUST_LOG", LOGGED)
+            .stderr(log)
+            .spawn()
+            .expect("a sender");
         let world = World { folder, at, sender, came, text };
         world.until("it is ready", |world| say(world.at, "*1\r\n$4\r\nPING\r\n").is_ok());
         world
@@ -117,3 +135,32 @@
     assert_eq!(world.put("c1", 7), "+OK");
     world.until("it is delivered", |world| world.came() == ["c1"]);
 }
+
+/// A disk that takes no more bytes, and later does: by the limit that the kernel keeps for the process.
+#[test]
+fn a_disk_that_fails_is_told_once_and_clients_hear_busy_until_it_is_well() {
+    let world = World::new();
+    let segment = world.folder.path().join("segment-0000000000000001");
+    let mut before = Vec::new();
+    while fs::metadata(&segment).expect("a segment").len() <= FULL {
+        before.push(format!("a{}", before.len()));
+        assert_eq!(world.put(&before[before.len() - 1], 7), "+OK");
+    }
+    let limit = |bytes: &str| {
+        let words = ["--pid", &world.sender.id().to_string(), &format!("--fsize={bytes}:unlimited")];
+        assert!(Command::new("prlimit").args(words).status().expect("prlimit").success());
+    };
+    world.until("all have come", |world| world.came() == before);
+    sleep(Duration::from_millis(100)); // and their ends are written
+    limit(&FULL.to_string());
+    for id in ["d2", "d3", "d4"] {
+        assert!(world.put(id, 7).starts_with("-BUSY"), "{}", world.log());
+    }
+    limit("unlimited");
+    assert_eq!(world.put("d5", 7), "+OK");
+    world.until("others go on", |world| world.came().last().is_some_and(|id| id == "d5"));
+    assert_eq!(world.came().len(), before.len() + 1, "what was turned away never went");
+    let log = world.log();
+    assert_eq!(log.matches("nothing is taken until it is written again").count(), 1, "{log}");
+    assert_eq!(log.matches("code=written_again").count(), 1, "{log}");
+}
--- a/crates/sailcart-store/examples/measure.rs
+++ b/crates/sailcart-store/examples/measure.rs
@@ -21,6 +21,32 @@
 
 struct Own(Store<Disk>);
 
+/// Synced once for so many changes.
+struct Grouped<'a>(&'a mut Own, u32);
+
+impl Grouped<'_> {
+    fn one_more(&mut self) {
+        self.1 += 1;
+        if self.1.is_multiple_of(100) {
+            self.0.0.sync().expect("a sync");
+        }
+    }
+}
+
+impl Kept for Grouped<'_> {
+    fn put(&mut self, key: &[u8], value: &[u8]) {
+        self.0.put(key, value);
+        self.one_more();
+    }
+    fn end(&mut self, key: &[u8]) {
+        self.0.end(key);
+        self.one_more();
+    }
+    fn written(&self) -> Option<(u64, u64)> {
+        self.0.written()
+    }
+}
+
 impl Kept for Own {
     fn put(&mut self, key: &[u8], value: &[u8]) {
         self.0.write(&[Change::Put(key, value)]).expect("room");
@@ -93,19 +119,36 @@
 fn append(name: &str, kept: &mut dyn Kept, folder: &Path, held: u64, span: Duration) {
     (0..held).for_each(|key| kept.put(&key.to_be_bytes(), &VALUE));
     let mut all = Histogram::<u64>::new(3).expect("bounds");
+    let (mut quiet, mut cleaning) = (all.clone(), all.clone());
     let (start, mut key) = (Instant::now(), held);
     while start.elapsed() < span {
         let name = key.to_be_bytes();
-        let mut timed = |act: &mut dyn FnMut()| {
+        for nth in 0..3 {
+            let carried = kept.written().map(|(_, carried)| carried);
             let start = Instant::now();
-            act();
-            all.record(start.elapsed().as_nanos() as u64).expect("in bounds");
-        };
-        timed(&mut || kept.put(&name, &VALUE));
-        timed(&mut || kept.put(&name, &STAND));
-        timed(&mut || kept.end(&name));
+            match nth {
+                0 => kept.put(&name, &VALUE),
+                1 => kept.put(&name, &STAND),
+                _ => kept.end(&name),
+            }
+            let took = start.elapsed().as_nanos() as u64;
+            all.record(took).expect("in bounds");
+            let same = carried == kept.written().map(|(_, carried)| carried);
+            let of = if same { &mut quiet } else { &mut cleaning };
+            of.record(took).expect("in bounds");
+        }
         key += 1;
     }
+    for (what, of) in
+        [("not carrying", &quiet), ("carrying", &cleaning)].into_iter().filter(|(_, of)| !of.is_empty())
+    {
+        let us = |quantile| of.value_at_quantile(quantile) as f64 / 1000.0;
+        let (p50, p99, p999, max) = (us(0.5), us(0.99), us(0.999), of.max() as f64 / 1e6);
+        println!(
+            "  {what}: {} changes, p50 {p50:.1}, p99 {p99:.1}, p99.9 {p999:.1} us, max {max:.2} ms",
+            of.len()
+        );
+    }
     let us = |quantile| all.value_at_quantile(quantile) as f64 / 1000.0;
     let amplified = kept.written().map_or("-".to_owned(), |(written, carried)| {
         format!("{:.2}", (written + carried) as f64 / written.max(1) as f64)
@@ -130,6 +173,11 @@
     match words.get(1).map(String::as_str) {
         Some("own") => append("own, none", &mut own(at, 3_000_000, Sync::None), at, held, span),
         Some("own-each") => append("own, each", &mut own(at, 3_000_000, Sync::Each), at, held, span),
+        Some("own-every") => {
+            let mut own = own(at, 3_000_000, Sync::Every(Duration::from_millis(5)));
+            // Group commit: one sync for each hundred changes.
+            append("own, every 100 changes", &mut Grouped(&mut own, 0), at, held, span);
+        }
         Some("own-large") => {
             append("own, none, 1 GB", &mut own(at, 1_000_000_000, Sync::None), at, 300_000, span * 3)
         }
@@ -170,7 +218,7 @@
             );
         }
         _ => eprintln!(
-            "own|own-each|own-large|redb|redb-each|fjall|fjall-each, fill BYTES FOLDER, start BYTES FOLDER"
+            "own|own-each|own-every|own-large|redb|redb-each|fjall|fjall-each, fill BYTES FOLDER, start BYTES FOLDER"
         ),
     }
 }
