--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -418,6 +418,8 @@
             return log::warn!("list: endpoint {} passed over, unknown kind {}", entry.name, entry.kind);
         };
         let place = Place { address: entry.address, destination: DestinationId(entry.destination), kind };
+        // Known also while all its endpoints drain: packets for it are no mistake of their clients.
+        self.destinations.insert(place.destination, self.clock.now());
         let old = self.endpoints.get(&entry.name).copied();
         let same = old.filter(|id| self.places.get(id) == Some(&place));
         if !entry.live || same.is_none() {
--- a/crates/sailcart-sender/src/wire/call.rs
+++ b/crates/sailcart-sender/src/wire/call.rs
@@ -7,7 +7,7 @@
 use sailcart::Outcome;
 use serde_json::{Value, json};
 
-use super::http::{self, Head};
+use super::http::{self, Extent, Head};
 
 /// A packet's part of a call.
 pub struct Parcel<'a> {
@@ -64,6 +64,8 @@
         200 => (Outcome::Done, true),
         429 => (Outcome::Full(head.retry_after.filter(|wait| !wait.is_zero())), false),
         503 if head.line_busy => (Outcome::NoSlot, false),
+        // One that is only busy keeps its connections, and says how long its answer is.
+        503 if head.close && head.extent != Extent::Rest => (Outcome::NoRoom, false),
         503 => (Outcome::Full(None), false),
         504 => (Outcome::Moot, false),
         410 => (Outcome::Moot, true),
--- a/crates/sailcart-sender/tests/wire.rs
+++ b/crates/sailcart-sender/tests/wire.rs
@@ -76,6 +76,7 @@
         ("429 Too Many Requests\r\nRetry-After: 0\r\n", (Outcome::Full(None), false)),
         ("503 Service Unavailable\r\n", (Outcome::Full(None), false)),
         ("503 Service Unavailable\r\nX-Line-Busy: 1\r\n", (Outcome::NoSlot, false)),
+        ("503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n", (Outcome::NoRoom, false)),
         ("504 Gateway Timeout\r\n", (Outcome::Moot, false)),
         ("410 Gone\r\n", (Outcome::Moot, true)),
         ("418 Something else\r\n", (Outcome::Error, false)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -102,6 +102,7 @@
     done: Tally,
     asked: Tally, // packets taken for it
     row: f64,     // losses since the last answer, and when they began
+    crowded: u32, // calls since the last answer that found its connections taken
     row_since: Duration,
     answered: Option<Duration>,
     pace: Option<Duration>, // mean time to an answer
@@ -155,7 +156,7 @@
 
     fn note_done(&mut self, now: Duration, elapsed: Duration, room: f64, figures: &Figures) {
         self.done.add(now, figures.soft);
-        (self.row, self.answered) = (0.0, Some(now));
+        (self.row, self.crowded, self.answered) = (0.0, 0, Some(now));
         self.pace = Some(self.pace.map_or(elapsed, |pace| (pace * 7 + elapsed) / 8));
         match self.health {
             Health::Well => {
@@ -187,6 +188,16 @@
         }
     }
 
+    /// All connections are taken, which says nothing of the limit: the token comes back, and the lane rests by chance
+    /// for about an answer time more with each such call, as others wait for the same room.
+    fn note_no_room(&mut self, now: Duration, chance: f64, figures: &Figures) {
+        self.crowded += 1;
+        let rest = self.expected(figures).mul_f64(2.0 * chance * f64::from(self.crowded));
+        self.blocked = self.blocked.max(now.saturating_add(rest));
+        self.bucket.tokens = self.bucket.tokens.map(|tokens| tokens + 1.0);
+        self.note_loss(now, 0.5, figures);
+    }
+
     /// Full: r is the served rate at the first refusal, then halves, and what tokens are left were not there.
     /// Calls sent before the last cut tell nothing new: one cut a round at most, and one for each burst.
     fn note_full(&mut self, now: Duration, sent: Duration, chance: f64, room: f64, figures: &Figures) {
@@ -473,6 +484,10 @@
                 refusals.add(now, figures.soft * 8);
                 lane.note_full(now, call.sent, chance, room, figures);
             }
+            Outcome::NoRoom => {
+                losses.add(now, figures.soft * 8);
+                lane.note_no_room(now, chance, figures);
+            }
             Outcome::NoSlot | Outcome::Moot => {}
             // A peer that closes early is no outage: refused connects soon tell of one. Harm: until then.
             Outcome::Reset if !figures.thin => lane.note_loss(now, BROKEN, figures),
--- a/src/host.rs
+++ b/src/host.rs
@@ -150,6 +150,8 @@
     Full(Option<Duration>),
     TimedOut,
     NoConnection,
+    /// Turned away unseen with its connection closed: the endpoint holds all that it takes.
+    NoRoom,
     /// The connection broke; it may have run.
     Reset,
     Cancelled,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -634,3 +634,29 @@
     play.list(false, &[line(0, 0, 0, 100.0, false), line(9, 0, 0, 100.0, false)]);
     assert!(!goes(&play, packets[1]), "its endpoint drains");
 }
+
+/// Fleet day calm+mass: 7,880 calls of 327 senders found the table of connections full, which idle ones of others held,
+/// and each cut its lane's rate as if a limit had been passed, until destinations got a tenth of what they take.
+#[test]
+fn a_full_table_of_connections_is_no_limit_and_leaves_no_idle_ones() {
+    let mut play = Play::new(Terms { senders: 300, ..terms() }, 2, 0, 30.0);
+    let packet = play.take(1, 0, 0, None)[0];
+    play.round();
+    play.back(packet, Outcome::NoRoom);
+    assert_eq!(play.out(), Vec::<u64>::new());
+    play.round();
+    assert_eq!(
+        (play.out().len(), &play.asked.closed[..]),
+        (0, &[EndpointId(0)][..]),
+        "others come at once too"
+    );
+    play.after(1000);
+    play.back(packet, Outcome::Done);
+    // The rate stands: the next goes when its bucket has a token, two seconds on, as after an answer.
+    let next = play.take(1, 0, 0, None)[0];
+    play.after(2000);
+    assert_eq!(play.out(), [next]);
+    play.back(next, Outcome::Done);
+    play.round();
+    assert_eq!(play.asked.closed.len(), 3, "no idle connection is left while others find no room");
+}
