--- a/src/control.rs
+++ b/src/control.rs
@@ -332,7 +332,7 @@
     turns: BTreeMap<KeyId, Turn>,
     customers: Vec<Bucket>,
     due: BTreeSet<(Duration, PacketId)>, // when held packets are looked at again or end
-    wear: Vec<[Tally; 3]>,               // answers, losses and refusals by kind
+    wear: Vec<[Tally; 4]>,               // answers, losses, refusals and full tables by kind
     idle: BTreeSet<EndpointId>,          // where a call came back this round
     again: f64,                          // refused packets that may go again where traffic is thin
     spent: Vec<(PacketId, Option<Duration>)>, // packets to be answered this round, and what wait is told
@@ -468,7 +468,7 @@
             return call.sent;
         }
         self.idle.insert(call.endpoint);
-        let [answers, losses, refusals] = &mut self.wear[endpoint.kind.0];
+        let [answers, losses, refusals, crowds] = &mut self.wear[endpoint.kind.0];
         let (refused, done) = (refusals.read(now, figures.soft * 8), answers.read(now, figures.soft * 8));
         // The share not refused of this kind's calls, from four on, as each lane alone tells too little.
         let room = if figures.thin { (1.0 - refused / (refused + done + 4.0)).powi(4) } else { 1.0 };
@@ -485,8 +485,11 @@
                 lane.note_full(now, call.sent, chance, room, figures);
             }
             Outcome::NoRoom => {
-                losses.add(now, figures.soft * 8);
+                crowds.add(now, figures.soft * 8);
                 lane.note_no_room(now, chance, figures);
+                let kind = endpoint.kind; // idle ones left anywhere there hold what others need
+                let alike = self.endpoints.iter().filter(|(_, other)| other.kind == kind);
+                self.idle.extend(alike.map(|(id, _)| *id));
             }
             Outcome::NoSlot | Outcome::Moot => {}
             // A peer that closes early is no outage: refused connects soon tell of one. Harm: until then.
@@ -612,8 +615,10 @@
         for id in std::mem::take(&mut self.idle) {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
             let (now, span) = (self.now, self.figures.soft * 8);
-            let [answers, losses, _] = &self.wear[endpoint.kind.0];
-            let worn = losses.read(now, span) > answers.read(now, span) * WEAR;
+            let [answers, losses, _, crowds] = &self.wear[endpoint.kind.0];
+            // A table was full: others need the room that an idle one takes, however many answers there are.
+            let worn =
+                losses.read(now, span) > answers.read(now, span) * WEAR || crowds.read(now, span) > WEAR;
             if worn && self.figures.thin && self.calls.values().all(|call| call.endpoint != id) {
                 host.close_idle(id);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -647,7 +647,7 @@
     play.round();
     assert_eq!(
         (play.out().len(), &play.asked.closed[..]),
-        (0, &[EndpointId(0)][..]),
+        (0, &[EndpointId(0), EndpointId(1)][..]),
         "others come at once too"
     );
     play.after(1000);
@@ -658,5 +658,5 @@
     assert_eq!(play.out(), [next]);
     play.back(next, Outcome::Done);
     play.round();
-    assert_eq!(play.asked.closed.len(), 3, "no idle connection is left while others find no room");
+    assert_eq!(play.asked.closed.len(), 4, "no idle connection is left while others find no room");
 }
