A round asked for stands also where an earlier one was: packets overslept their end

Ruled out: CPU (at most 0.02 s in any second on n257), a restart (none on it then), the notice (told 2 ms later). At fault: exchange.rs Desk::wake() kept the earliest time alone. A round between the sender's time and the carrier's clock's (the time that a round itself takes) asks for the next one, which was dropped for the one due at once; the sender, which asks once (control.rs set_wake, woken_at), then had none. Now each asked round stands until its time (memory/wakes.rs).

--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::endpoints::Endpoints;
 use crate::memory::ledger::Ledger;
+use crate::memory::wakes::Wakes;
 use crate::memory::{Notice, Packet, Unix};
 use crate::wire::Put;
 use crate::wire::call::Ending;
@@ -126,7 +127,7 @@
     out: BTreeMap<PacketId, Rc<Notify>>,
     sending: Vec<(EndpointId, Vec<(PacketId, Duration)>)>, // this round's dispatches
     closing: Vec<(EndpointId, &'static str)>,
-    wake: Option<Instant>,
+    wakes: Wakes,
 }
 
 impl Exchange {
@@ -149,7 +150,7 @@
             out: BTreeMap::new(),
             sending: Vec::new(),
             closing: Vec::new(),
-            wake: None,
+            wakes: Wakes::default(),
         };
         let within = Within { sender: Sender::new(terms, seed), desk, stopped: false };
         Exchange { within: RefCell::new(within), bell: Notify::new(), notices: Notify::new() }
@@ -265,7 +266,7 @@
     /// A round whenever something came in or the sender asked for one, but not too often.
     pub async fn rounds(self: Rc<Self>, pace: Duration, endpoints: Rc<Endpoints>) {
         loop {
-            let wake = self.within.borrow().desk.wake;
+            let wake = self.within.borrow().desk.wakes.next();
             tokio::select! {
                 () = self.bell.notified() => {}
                 () = sleep_until(wake.unwrap_or(Instant::now() + Duration::from_secs(3600)).into()) => {}
@@ -278,7 +279,7 @@
 
     fn round(self: &Rc<Self>, endpoints: &Rc<Endpoints>) {
         let Within { sender, desk, stopped } = &mut *self.within.borrow_mut();
-        desk.wake = desk.wake.filter(|wake| *wake > Instant::now());
+        desk.wakes.meet(Instant::now());
         if !*stopped || !desk.answers.is_empty() {
             sender.decide(desk.clock.now(), desk);
         }
@@ -507,7 +508,8 @@
     }
 
     fn wake(&mut self, after: Duration) {
-        let at = Instant::now().checked_add(after);
-        self.wake = self.wake.into_iter().chain(at).min();
+        if let Some(at) = Instant::now().checked_add(after) {
+            self.wakes.ask(at);
+        }
     }
 }
