--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -15,7 +15,6 @@
 use crate::memory::pool::{Pool, ended};
 use crate::wire::MOST_BODY;
 use crate::wire::call::{self, Ending, Parcel};
-use crate::wire::http::Head;
 
 /// How long the rest of an answer may take once it has begun to come.
 const REST: Duration = Duration::from_millis(250);
@@ -49,9 +48,9 @@
 
     /// Carries a call out. Its connection has ended, or is idle again, before its outcome is told.
     pub async fn carry(self: Rc<Self>, call: Call, exchange: Rc<Exchange>) {
-        let (endings, head, keeps) = match self.connect(&call).await {
-            None => (alike(&call, Outcome::NoConnection), None, None),
-            Some(stream) if !exchange.sends(&call) => (alike(&call, Outcome::NoSlot), None, Some(stream)),
+        let (endings, keeps) = match self.connect(&call).await {
+            None => (alike(&call, Outcome::NoConnection), None),
+            Some(stream) if !exchange.sends(&call) => (alike(&call, Outcome::NoSlot), Some(stream)),
             Some(stream) => speak(&call, stream).await,
         };
         match keeps {
@@ -61,7 +60,7 @@
             Some(_) => ended(call.address, "unlisted"),
             None => {}
         }
-        exchange.came_back(&call, &endings, head.as_ref());
+        exchange.came_back(&call, &endings);
     }
 
     async fn connect(&self, call: &Call) -> Option<TcpStream> {
@@ -88,8 +87,8 @@
     }
 }
 
-/// One call and what came of it, the head of its answer, and its connection if another call can go there.
-async fn speak(call: &Call, mut stream: TcpStream) -> (Vec<Ending>, Option<Head>, Option<TcpStream>) {
+/// One call and what came of it, with its connection if another call can go there.
+async fn speak(call: &Call, mut stream: TcpStream) -> (Vec<Ending>, Option<TcpStream>) {
     let end = call.start + call.time_out;
     let budget = end.saturating_duration_since(Instant::now());
     let parcels: Vec<Parcel> = call.packets.iter().map(|packet| parcel(packet)).collect();
@@ -110,11 +109,11 @@
         (None, Ok(())) => alike(call, Outcome::Reset),
     };
     match spoken {
-        Ok(()) if reply.keeps() => return (endings, reply.head, Some(stream)),
+        Ok(()) if reply.keeps() => return (endings, Some(stream)),
         Ok(()) => ended(call.address, "answer_closes"),
         Err(fault) => ended(call.address, code(&fault)),
     }
-    (endings, reply.head, None)
+    (endings, None)
 }
 
 /// One call and its answer. Nothing sends it again.
--- a/src/control.rs
+++ b/src/control.rs
@@ -100,10 +100,8 @@
     cut_at: Option<Duration>,
     health: Health,
     done: Tally,
-    asked: Tally,         // packets taken for it
-    row: f64,             // losses since the last answer, and when they began
-    told: Option<Report>, // the last word of its limit, and whether it is news
-    news: bool,
+    asked: Tally, // packets taken for it
+    row: f64,     // losses since the last answer, and when they began
     crowded: u32, // calls since the last answer that found its connections taken
     row_since: Duration,
     answered: Option<Duration>,
@@ -174,20 +172,11 @@
             Health::Back(since) if now - since >= figures.back.cold => self.health = Health::Well,
             Health::Back(_) => {}
         }
-        self.heed_told();
         let least = if self.listed.is_none() { FLOOR / 2.0 * figures.crowding } else { 0.0 };
         let (step, room) = ((self.top * LIFT).max(least), if figures.thin { room * FLOOR } else { 0.0 });
         self.rate = self.rate.map(|r| (r + step).max(room).min(self.listed.unwrap_or(f64::INFINITY)));
     }
 
-    /// What all senders together left of the limit, told with an answer, moves r: up from half of it on, down below.
-    /// A fuller window is half left on average. Where little is used it is lifted to that part of its top at once.
-    fn heed_told(&mut self) {
-        if let Some(told) = self.told.filter(|_| std::mem::take(&mut self.news)) {
-            self.rate = self.rate.map(|r| (r * (0.5 + told.left)).max(told.left * self.top));
-        }
-    }
-
     /// A call came back without an answer. Losses in a row make an outage; one or two may be chance.
     /// Refusals of a limit come in short rows, those of a destination that is shut last a soft limit or more.
     fn note_loss(&mut self, now: Duration, weight: f64, figures: &Figures) {
@@ -219,9 +208,7 @@
             }
             // The floor is shared out among many senders only as refusals go on.
             let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT.min(room));
-            // Where the limit is told, a sender's part of it stands.
-            let least = self.told.map_or(FLOOR * figures.crowding, |told| told.limit / figures.senders);
-            (self.rate, self.cut_at) = (Some(cut.max(least)), Some(now));
+            (self.rate, self.cut_at) = (Some(cut.max(FLOOR * figures.crowding)), Some(now));
             self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
         }
         self.note_loss(now, 0.5, figures);
@@ -445,19 +432,6 @@
         }
     }
 
-    /// What the answer of a dispatch that is out tells of the limit, before its outcome. Heeded where traffic is thin:
-    /// elsewhere a sender's own answers tell more, and sooner.
-    pub fn report(&mut self, id: PacketId, report: Report) {
-        let Some(State::Out(call, _)) = self.packets.get(&id).map(|kept| kept.state) else { return };
-        let Some(lane) = self.lanes.get_mut(&self.calls[&call].lane).filter(|_| self.figures.thin) else {
-            return;
-        };
-        if lane.told != Some(report) {
-            (lane.told, lane.news) = (Some(report), true);
-            lane.top = 2.0 * report.limit / (1.0 + self.figures.senders);
-        }
-    }
-
     /// A dispatch came back. `over` is set once the packet has ended.
     pub fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool) {
         self.now = now.max(self.now);
