--- a/src/control.rs
+++ b/src/control.rs
@@ -193,7 +193,7 @@
     fn note_no_room(&mut self, now: Duration, chance: f64, figures: &Figures) {
         self.crowded += 1;
         let rest = self.expected(figures).mul_f64(2.0 * chance * f64::from(self.crowded));
-        self.blocked = self.blocked.max(now.saturating_add(rest));
+        self.blocked = self.blocked.max(now.saturating_add(rest.min(figures.soft)));
         self.bucket.tokens = self.bucket.tokens.map(|tokens| tokens + 1.0);
         self.note_loss(now, 0.5, figures);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -660,3 +660,15 @@
     play.round();
     assert_eq!(play.asked.closed.len(), 4, "no idle connection is left while others find no room");
 }
+
+/// A destination that is slow and full for long must not be given up for longer than a packet is wanted.
+#[test]
+fn a_lane_without_room_rests_no_longer_than_a_soft_limit() {
+    let mut play = Play::new(Terms { senders: 300, dispatches: 100, ..terms() }, 1, 0, 3000.0);
+    let packet = play.take(1, 0, 0, None)[0];
+    for call in 0..8 {
+        play.after(2000);
+        assert_eq!(play.out(), [packet], "call {call} after a soft limit");
+        play.back(packet, Outcome::NoRoom);
+    }
+}
