--- a/crates/sailcart-sender/src/memory/wakes.rs
+++ b/crates/sailcart-sender/src/memory/wakes.rs
@@ -8,10 +8,20 @@
 pub struct Wakes(BTreeSet<Instant>);
 
 impl Wakes {
+    /// Those after it are asked for anew once it has passed, so they go: else each round could leave one more.
     pub fn ask(&mut self, at: Instant) {
+        self.0.retain(|other| *other < at);
         self.0.insert(at);
     }
 
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// When the next round is due.
     pub fn next(&self) -> Option<Instant> {
         self.0.first().copied()
--- a/crates/sailcart-sender/tests/wakes.rs
+++ b/crates/sailcart-sender/tests/wakes.rs
@@ -20,3 +20,16 @@
     wakes.meet(later);
     assert_eq!(wakes.next(), None);
 }
+
+/// A sender that is told something in each round asks for a nearer one and, once that has passed, for the far one again.
+#[test]
+fn rounds_asked_for_again_and_again_do_not_pile_up() {
+    let start = Instant::now();
+    let mut wakes = Wakes::default();
+    for round in 1..1000 {
+        wakes.ask(start + Duration::from_secs(12) + Duration::from_nanos(round));
+        wakes.ask(start + Duration::from_millis(round));
+        assert_eq!(wakes.len(), 1);
+        wakes.meet(start + Duration::from_millis(round));
+    }
+}
