--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -380,6 +380,16 @@
     world.until("the call", |world| world.came() == ["a1"]);
 }
 
+/// A destination that was never listed but as draining is known: its clients heard "unknown destination".
+#[test]
+fn a_destination_that_only_drains_is_known() {
+    let world = World::new("drains", |_, _| answer("200 OK", "", ""));
+    world.platform.list(&[entry("g", world.endpoint, 9, "Terminating")]);
+    world.until("the news", |world| world.log().contains("discovery: version 2"));
+    let fields = "c=notice,t=acme,d=8000,k=a1,dest=9";
+    assert_eq!(put(world.listen, "a1", fields, "hello").as_deref().ok(), Some("+OK"));
+}
+
 /// SIGHUP: a faulty file changes nothing; a new address of discovery is followed at once, also by what is out
 /// at the old one, and notices go there.
 #[test]
--- a/src/control.rs
+++ b/src/control.rs
@@ -188,8 +188,8 @@
         }
     }
 
-    /// All connections are taken, which says nothing of the limit: the token comes back, and the lane rests by
-    /// chance for about an answer time more with each such call, as others wait for the same room.
+    /// All connections are taken, which says nothing of the limit: the token comes back, and the lane rests
+    /// by chance for about an answer time more with each such call, as others wait for the same room.
     fn note_no_room(&mut self, now: Duration, chance: f64, figures: &Figures) {
         self.crowded += 1;
         let rest = self.expected(figures).mul_f64(2.0 * chance * f64::from(self.crowded));
