Turned away by discovery, a sender comes again after a growing, seeded pause

From 16 s on calls went to endpoints that had left ("no connection, code=refused"); destinations 6 and 9 did none of their 46 and 58 calls a second for 7 s. At fault: platform.rs, follow(): sleep(PAUSE), 50 ms, after every failure, by every sender in step, so that the queue that turned them away stayed full; and HOLD of 2 s. Now a pause is drawn from a span that doubles in a row (pauses.rs, pure, seeded), from 4 s on where discovery turned the call away and from 50 ms where the connection failed; a watch is held for 20 s, the protocol's own example; a move by SIGHUP ends a pause at once.

--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod inspect;
 pub mod life;
 pub mod memory;
+pub mod pauses;
 pub mod platform;
 pub mod wire;
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -40,7 +40,7 @@
     let follows = match mandate.source {
         Source::Platform(discovery) => {
             let (moves, place) = watch::channel(discovery);
-            spawn_local(platform::follow(place.clone(), known.version, exchange.clone()));
+            spawn_local(platform::follow(place.clone(), known.version, mandate.seed, exchange.clone()));
             spawn_local(platform::notify(place, exchange.clone()));
             Follows::Discovery(moves)
         }
--- /dev/null
+++ b/crates/sailcart-sender/src/pauses.rs
@@ -0,0 +1,32 @@
+//! How long to wait before something that failed is tried again. Pure: it neither sleeps nor reads a clock.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Each pause is drawn from a span that doubles with every failure in a row, up to `most`. Guards against hundreds of
+/// senders that were turned away together and come again together: they would keep out even those that are let in.
+pub struct Pauses {
+    rng: ChaCha8Rng,
+    least: Duration,
+    most: Duration,
+    span: Duration,
+}
+
+impl Pauses {
+    pub fn new(seed: u64, least: Duration, most: Duration) -> Self {
+        Pauses { rng: ChaCha8Rng::seed_from_u64(seed), least, most, span: Duration::ZERO }
+    }
+
+    /// The next pause. One who was turned away by a peer in its senses starts with a span of `first`.
+    pub fn next(&mut self, first: Duration) -> Duration {
+        self.span = (self.span * 2).clamp(self.least.max(first), self.most);
+        self.least + (self.span - self.least).mul_f64(self.rng.random())
+    }
+
+    /// It went well: the next failure is the first of its row.
+    pub fn over(&mut self) {
+        self.span = Duration::ZERO;
+    }
+}
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -14,13 +14,17 @@
 use crate::caller::{self, Reply};
 use crate::exchange::Exchange;
 use crate::memory::Notice;
+use crate::pauses::Pauses;
 use crate::wire::{MOST_BODY, discovery, http, notice};
 
-/// How long one call of a watch waits. A lost connection is noticed a little later.
-const HOLD: Duration = Duration::from_secs(2);
+/// How long one call of a watch waits: the protocol's own example. Each call costs discovery work, whatever it has to tell.
+const HOLD: Duration = Duration::from_secs(20);
+/// One that discovery turned away comes again within this, then within twice as long, and so on. It answers so after two
+/// seconds in its queue, and may need some more for one call of each sender: who comes sooner keeps that queue full.
+const BUSY: Duration = Duration::from_secs(4);
 /// How long an answer that is due at once may take.
 const ANSWER: Duration = Duration::from_secs(1);
-/// The pause before a broken connection is opened again.
+/// The least pause before a call is made again. Those for the list grow from it.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Where the platform is: a reload may move it.
@@ -44,15 +48,30 @@
         tokio::select! {
             biased;
             Ok(()) = place.changed() => {
-                self.place.mark_unchanged();
-                self.stream = None;
-                log::info!("platform {left}: connection ended, code=moved");
+                self.leave(left);
                 Err(io::ErrorKind::Interrupted.into())
             }
             reply = self.turn(bytes, within, most) => reply,
         }
     }
 
+    /// A pause before the next call; true, and at once, where the platform moves meanwhile.
+    async fn moves_within(&mut self, pause: Duration) -> bool {
+        let left = self.address();
+        tokio::select! {
+            () = sleep(pause) => return false,
+            Ok(()) = self.place.changed() => {}
+        }
+        self.leave(left);
+        true
+    }
+
+    fn leave(&mut self, left: SocketAddr) {
+        self.place.mark_unchanged();
+        self.stream = None;
+        log::info!("platform {left}: connection ended, code=moved");
+    }
+
     /// One call and its answer within a time. A connection on which it did not come whole is closed.
     async fn turn(&mut self, bytes: &[u8], within: Duration, most: usize) -> io::Result<Reply> {
         let mut reply = Reply::default();
@@ -75,7 +94,8 @@
 }
 
 /// Follows the destination list from a version on. One that moved may count otherwise: its whole list is read.
-pub async fn follow(place: Place, version: u64, exchange: Rc<Exchange>) {
+pub async fn follow(place: Place, version: u64, seed: u64, exchange: Rc<Exchange>) {
+    let mut pauses = Pauses::new(seed, PAUSE, HOLD * 2);
     let mut wire = Wire { place, stream: None };
     let mut version = Some(version);
     let mut told = None; // one line for an outage, not one for each try
@@ -90,13 +110,19 @@
                 // Also when nothing changed: what left the list long ago is forgotten on such news.
                 exchange.list(&list);
                 (version, told) = (Some(list.version), None);
+                pauses.over();
             }
             Err(fault) if fault.kind() == io::ErrorKind::Interrupted => version = None,
             Err(fault) => {
                 if told.replace(fault.kind()) != Some(fault.kind()) {
                     log::warn!("discovery: code=no_list {fault}");
                 }
-                sleep(PAUSE).await;
+                // An answer without a list comes from a discovery that has too much to do.
+                let turned_away = fault.kind() == io::ErrorKind::Other;
+                let pause = pauses.next(if turned_away { BUSY } else { PAUSE });
+                if wire.moves_within(pause).await {
+                    version = None;
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/sailcart-sender/tests/pauses.rs
@@ -0,0 +1,50 @@
+//! How long those that were turned away wait.
+
+use std::time::Duration;
+
+use sailcart_sender::pauses::Pauses;
+
+/// A discovery that takes one call a fiftieth of a second and turns away, after two seconds, whoever waits longer: its work
+/// for them is done all the same. Tells when the last of `senders` that all asked at once has its list, in seconds.
+fn all_have_heard(senders: u64, mut pause: impl FnMut(u64) -> f64) -> Option<f64> {
+    let mut asking: Vec<(f64, u64)> = (0..senders).map(|sender| (0.0, sender)).collect();
+    let (mut free, mut heard) = (0.0_f64, 0.0_f64);
+    while !asking.is_empty() {
+        asking.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let (at, sender) = asking.pop()?;
+        if at > 120.0 {
+            return None;
+        }
+        free = free.max(at) + 0.05;
+        if free <= at + 2.0 {
+            heard = free;
+        } else {
+            asking.push((at + 2.0 + pause(sender), sender));
+        }
+    }
+    Some(heard)
+}
+
+/// Fleet day herd+vast: 61 of 100 senders, turned away at their first call, came again every 50 ms and were turned away to the
+/// day's end, as was every sender that was restarted.
+#[test]
+fn a_hundred_that_were_turned_away_let_each_other_in() {
+    let (least, busy) = (Duration::from_millis(50), Duration::from_secs(4));
+    let new = |seed| Pauses::new(seed, least, busy * 10);
+    let mut own: Vec<Pauses> = (0..100).map(new).collect();
+    let heard = all_have_heard(100, |sender| own[sender as usize].next(busy).as_secs_f64());
+    assert!(heard.is_some_and(|at| at < 20.0), "all have heard at {heard:?}");
+    assert_eq!(all_have_heard(100, |_| 0.05), None, "this discovery does not get through with fixed pauses");
+}
+
+#[test]
+fn pauses_grow_in_a_row_and_end_with_it() {
+    let ms = Duration::from_millis;
+    let mut pauses = Pauses::new(7, ms(50), ms(800));
+    let mut most = |row: u32| (0..row).map(|_| pauses.next(ms(50))).max().inspect(|_| pauses.over());
+    assert_eq!(most(1), Some(ms(50)));
+    let tenth: Vec<_> = (0..20).filter_map(|_| most(10)).collect();
+    assert!(tenth.iter().all(|longest| (ms(50)..=ms(800)).contains(longest)), "{tenth:?}");
+    assert!(tenth.iter().any(|longest| *longest > ms(400)), "{tenth:?}");
+    assert_eq!(most(1), Some(ms(50)));
+}
--- a/crates/sailcart-sender/tests/peer/mod.rs
+++ b/crates/sailcart-sender/tests/peer/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -76,6 +76,10 @@
     pub notices: Mutex<Vec<String>>,
     /// Takes no notices while this is set.
     pub deaf: AtomicBool,
+    /// Turns calls for the list away while this is set.
+    pub busy: AtomicBool,
+    /// Calls that it turned away.
+    pub turned_away: AtomicUsize,
 }
 
 impl Platform {
@@ -101,6 +105,10 @@
             self.notices.lock().expect("no panic").extend(lines.lines().map(str::to_owned));
             return Some("HTTP/1.1 204 No Content\r\n\r\n".to_owned());
         }
+        if self.busy.load(Ordering::Relaxed) {
+            self.turned_away.fetch_add(1, Ordering::Relaxed);
+            return answer("503 Service Unavailable", "", "");
+        }
         let query = |name: &str| {
             let (_, after) = call.start.split_once(name)?;
             after.split(['&', ' ']).next()?.parse::<u64>().ok()
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -418,6 +418,31 @@
     assert_eq!(world.notices().len(), 0);
 }
 
+/// A discovery that has too much to do is not asked again at once, the list stays, and one line tells of it; a move is followed
+/// in the midst of a pause.
+#[test]
+fn an_overbooked_discovery_is_left_alone() {
+    let mut world = World::new("overbooked", |_, _| answer("200 OK", "", ""));
+    world.platform.busy.store(true, Ordering::Relaxed);
+    world.platform.list(&[entry("e", world.endpoint, 7, "Ready")]);
+    let times = |world: &World| world.platform.turned_away.load(Ordering::Relaxed);
+    world.until("the first", |world| times(world) > 0);
+    sleep(Duration::from_secs(2));
+    assert!(times(&world) <= 3, "it was asked {} times in two seconds", times(&world));
+    assert_eq!(world.log().matches("code=no_list").count(), 1);
+    assert_eq!(world.put("a1"), "+OK");
+    world.until("the call", |world| world.came() == ["a1"]);
+    let (place, platform) = Platform::start("127.0.0.1:0");
+    (0..3).for_each(|_| platform.list(&[entry("e", world.endpoint, 7, "Ready")]));
+    world.config = world.config.replace(&world.discovery.to_string(), &place.to_string());
+    fs::write(world.folder.join("config.json"), &world.config).expect("a configuration");
+    let pid = world.sender.as_ref().expect("a sender").id().to_string();
+    assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
+    let start = Instant::now();
+    world.until("the new list", |world| world.log().contains("discovery: version 3, 1 entries"));
+    assert!(start.elapsed() < Duration::from_secs(1), "a pause is not waited for");
+}
+
 /// An id that comes again hears what its packet's client hears; the packet itself goes on as if it had not.
 #[test]
 fn a_twin_changes_nothing_for_its_packet() {
