--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -161,6 +161,11 @@
         row.text(6, "endpoint")?;
         let now = self.now(wall);
         if let Some(id) = self.book.packets.get(handle).copied() {
+            let value = |at: usize| row.maybe(7)?.as_array()?.get(at)?.as_f64();
+            let report = self.names.reports.as_ref().and_then(|r| r.read(|(at, _)| value(*at)));
+            if let Some(report) = report {
+                self.sender.report(id, report);
+            }
             self.sender.outcome(now, id, elapsed, outcome, over);
             self.prune(id);
         }
--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -15,6 +15,7 @@
 use crate::memory::pool::{Pool, ended};
 use crate::wire::MOST_BODY;
 use crate::wire::call::{self, Ending, Parcel};
+use crate::wire::http::Head;
 
 /// How long the rest of an answer may take once it has begun to come.
 const REST: Duration = Duration::from_millis(250);
@@ -48,9 +49,9 @@
 
     /// Carries a call out. Its connection has ended, or is idle again, before its outcome is told.
     pub async fn carry(self: Rc<Self>, call: Call, exchange: Rc<Exchange>) {
-        let (endings, keeps) = match self.connect(&call).await {
-            None => (alike(&call, Outcome::NoConnection), None),
-            Some(stream) if !exchange.sends(&call) => (alike(&call, Outcome::NoSlot), Some(stream)),
+        let (endings, head, keeps) = match self.connect(&call).await {
+            None => (alike(&call, Outcome::NoConnection), None, None),
+            Some(stream) if !exchange.sends(&call) => (alike(&call, Outcome::NoSlot), None, Some(stream)),
             Some(stream) => speak(&call, stream).await,
         };
         match keeps {
@@ -60,7 +61,7 @@
             Some(_) => ended(call.address, "unlisted"),
             None => {}
         }
-        exchange.came_back(&call, &endings);
+        exchange.came_back(&call, &endings, head.as_ref());
     }
 
     async fn connect(&self, call: &Call) -> Option<TcpStream> {
@@ -87,8 +88,8 @@
     }
 }
 
-/// One call and what came of it, with its connection if another call can go there.
-async fn speak(call: &Call, mut stream: TcpStream) -> (Vec<Ending>, Option<TcpStream>) {
+/// One call and what came of it, the head of its answer, and its connection if another call can go there.
+async fn speak(call: &Call, mut stream: TcpStream) -> (Vec<Ending>, Option<Head>, Option<TcpStream>) {
     let end = call.start + call.time_out;
     let budget = end.saturating_duration_since(Instant::now());
     let parcels: Vec<Parcel> = call.packets.iter().map(|packet| parcel(packet)).collect();
@@ -109,11 +110,11 @@
         (None, Ok(())) => alike(call, Outcome::Reset),
     };
     match spoken {
-        Ok(()) if reply.keeps() => return (endings, Some(stream)),
+        Ok(()) if reply.keeps() => return (endings, reply.head, Some(stream)),
         Ok(()) => ended(call.address, "answer_closes"),
         Err(fault) => ended(call.address, code(&fault)),
     }
-    (endings, None)
+    (endings, reply.head, None)
 }
 
 /// One call and its answer. Nothing sends it again.
--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -21,8 +21,9 @@
 use crate::memory::wakes::Wakes;
 use crate::memory::{Notice, Packet, Unix};
 use crate::wire::Put;
-use crate::wire::call::Ending;
+use crate::wire::call::{self, Ending};
 use crate::wire::discovery::{Entry, List};
+use crate::wire::http::Head;
 
 /// What a client hears of a packet that it hands in.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -225,10 +226,15 @@
         })
     }
 
-    /// A call came back, with how each of its packets fared.
-    pub fn came_back(&self, call: &Call, endings: &[Ending]) {
+    /// A call came back, with how each of its packets fared and perhaps what its answer tells of a limit.
+    pub fn came_back(&self, call: &Call, endings: &[Ending], head: Option<&Head>) {
         let Within { sender, desk, .. } = &mut *self.within.borrow_mut();
         let (now, elapsed) = (desk.clock.now(), call.start.elapsed());
+        let told =
+            desk.names.reports.as_ref().zip(head).and_then(|(reports, head)| call::report(head, reports));
+        if let Some((report, first)) = told.zip(call.packets.first()) {
+            sender.report(first.number, report);
+        }
         for (packet, (outcome, over)) in call.packets.iter().zip(endings) {
             let id = packet.number;
             desk.out.remove(&id);
--- a/crates/sailcart-sender/src/wire/call.rs
+++ b/crates/sailcart-sender/src/wire/call.rs
@@ -4,7 +4,8 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use sailcart::Outcome;
+use sailcart::{Outcome, Report};
+use sailcart_terms::Reports;
 use serde_json::{Value, json};
 
 use super::http::{self, Extent, Head};
@@ -59,6 +60,12 @@
     ids.iter().map(of).collect()
 }
 
+/// What an answer's report tells of the limit: `x0=0.4,x1=25`, with the fields that the settings name.
+pub fn report(head: &Head, reports: &Reports) -> Option<Report> {
+    let fields = || head.report.as_deref().unwrap_or_default().split(',').filter_map(|f| f.split_once('='));
+    reports.read(|(_, name)| fields().find(|(key, _)| key.trim() == name)?.1.trim().parse().ok())
+}
+
 fn ending(head: &Head) -> Ending {
     match head.status {
         200 => (Outcome::Done, true),
--- a/crates/sailcart-sender/src/wire/http.rs
+++ b/crates/sailcart-sender/src/wire/http.rs
@@ -34,6 +34,8 @@
     pub close: bool,
     pub retry_after: Option<Duration>,
     pub line_busy: bool,
+    /// What it tells of the endpoint's load, as written.
+    pub report: Option<String>,
 }
 
 pub fn get(host: &str, path: &str) -> Vec<u8> {
@@ -69,7 +71,8 @@
     let (mut rest, ((minor, status), _)) = (start, terminated(text, crlf)).parse(input)?;
     let bare = status == 204 || status == 304 || status < 200;
     let extent = if bare { Extent::Length(0) } else { Extent::Rest };
-    let mut head = Head { status, extent, close: minor == '0', retry_after: None, line_busy: false };
+    let mut head =
+        Head { status, extent, close: minor == '0', retry_after: None, line_busy: false, report: None };
     loop {
         // Half an end of line may be the end of the head yet.
         match crlf::<_, Error<_>>(rest) {
@@ -124,6 +127,8 @@
         head.retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     } else if is("X-Line-Busy") {
         head.line_busy = value == "1";
+    } else if is("X-Load-Report") {
+        head.report = Some(value.to_owned());
     }
 }
 
--- a/crates/sailcart-sender/tests/wire.rs
+++ b/crates/sailcart-sender/tests/wire.rs
@@ -6,6 +6,7 @@
 use sailcart_sender::wire::call::{self, Parcel};
 use sailcart_sender::wire::resp::{self, Command};
 use sailcart_sender::wire::{discovery, http, notice};
+use sailcart_terms::Reports;
 
 const PUT: &[u8] = b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$2\r\nab\r\n$30\r\nc=n,t=a,d=8000,k=5c,dest=7,r=1\r\n\
     $6\r\nb\r\n*1\r\r\n";
@@ -85,6 +86,33 @@
     }
 }
 
+/// What an answer tells of the limit, late and by other people's programs: one that cannot be meant so is none.
+#[test]
+fn a_report_that_is_cut_negative_or_absurd_is_none() {
+    let reports = Reports { left: (0, "x0".to_owned()), limit: (1, "x1".to_owned()) };
+    let told = |value: &str| {
+        let answer = format!("HTTP/1.1 200 OK\r\nx-load-report: {value}\r\n\r\n");
+        let (head, _) = http::head(answer.as_bytes()).expect("a good head").expect("a whole head");
+        call::report(&head, &reports).map(|report| (report.left, report.limit))
+    };
+    assert_eq!(told("x0=0.4,x1=25"), Some((0.4, 25.0)));
+    assert_eq!(told("other=3, x1 = 25.5 , x0=0"), Some((0.0, 25.5)));
+    for none in ["", "x0=0.4", "x0=0.4,x1", "x0=0.4,x1=", "x0=-0.1,x1=25", "x0=1.1,x1=25", "x0=0.4,x1=0"] {
+        assert_eq!(told(none), None, "{none}");
+    }
+    for none in [
+        "x0=0.4,x1=-25",
+        "x0=NaN,x1=25",
+        "x0=0.4,x1=NaN",
+        "x0=0.4,x1=inf",
+        "x0=,x1=25",
+        "x0x1",
+        "x0=0.4;x1=2",
+    ] {
+        assert_eq!(told(none), None, "{none}");
+    }
+}
+
 #[test]
 fn a_call_with_several_packets_tells_of_each() {
     let body = r#"[{"id":"c","state":"deferred"},{"id":"a","state":"accepted"},{"id":"b","state":"expired"},
@@ -157,7 +185,7 @@
 #[test]
 fn no_byte_breaks_a_reader() {
     let head =
-        b"HTTP/1.1 429 No\r\nRetry-After: 1.5\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+        b"HTTP/1.1 429 No\r\nRetry-After: 1.5\r\nX-Load-Report: x0=1,x1=2\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
     let list =
         br#"{"generation":1,"reset":true,"instances":[{"instanceId":"s","hostPort":"[::1]:1","cell":3}]}"#;
     let used = |read: Option<usize>, input: &[u8]| assert!(read.unwrap_or(0) <= input.len());
--- a/crates/sailcart-terms/src/lib.rs
+++ b/crates/sailcart-terms/src/lib.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sailcart::{Category, Customer, Kind, Late, Repeat, Return, Terms};
+use sailcart::{Category, Customer, Kind, Late, Repeat, Report, Return, Terms};
 use serde_json::Value;
 
 pub use value::{Fault, member, span, take_number, take_text};
@@ -15,6 +15,23 @@
     pub categories: HashMap<String, usize>,
     pub customers: HashMap<String, usize>,
     pub kinds: HashMap<String, usize>,
+    /// Where answers tell of limits.
+    pub reports: Option<Reports>,
+}
+
+/// Where in a report, and under which name, a lane's limit stands.
+pub struct Reports {
+    pub left: (usize, String),
+    pub limit: (usize, String),
+}
+
+impl Reports {
+    /// From the values of a report. One that cannot be read is none, and neither is one of no limit.
+    pub fn read(&self, value: impl Fn(&(usize, String)) -> Option<f64>) -> Option<Report> {
+        let report = Report { left: value(&self.left)?, limit: value(&self.limit)? };
+        let sane = (0.0..=1.0).contains(&report.left) && report.limit.is_finite() && report.limit > 0.0;
+        sane.then_some(report)
+    }
 }
 
 /// What the carrier keeps to, and no decision needs.
@@ -44,6 +61,7 @@
         categories: positions(named(lanes)?),
         customers: positions(named(customers)?),
         kinds: positions(kinds.clone()),
+        reports: reports(env)?,
     };
     let retry_after = match truth(bounds, "retry_after")? {
         true => Some(ms(bounds, "max_retry_after_ms")?),
@@ -86,6 +104,17 @@
     Ok((terms, names))
 }
 
+/// Of the fields that an answer's report may have, those of a destination's limit.
+fn reports(env: &Value) -> Result<Option<Reports>, Fault> {
+    let Some(report) = env.get("report").filter(|report| !report.is_null()) else { return Ok(None) };
+    if text(report, "how")? != "answers" {
+        return Ok(None);
+    }
+    let columns = texts(list(report, "columns")?, "columns")?;
+    let place = |name: &str| columns.iter().position(|c| *c == name).map(|at| (at, name.to_owned()));
+    Ok(place("x0").zip(place("x1")).map(|(left, limit)| Reports { left, limit }))
+}
+
 fn category(lane: &Value) -> Result<Category, Fault> {
     let repeat = match text(lane, "repeat")? {
         "retryable" => Repeat::Idempotent,
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 const LIFT: f64 = 1.0 / 16.0; // each success gives back this share of the listed or last known rate
 const CROWD: f64 = 3.0; // more senders than these share its floor: else it alone overruns small limits
 const BURST: f64 = 0.25; // seconds of r; a whole second overran limits that all senders share
-const GUARD: f64 = 0.9; // of what the return rule allows; chance needs the rest
+const GUARD: f64 = 0.9; // of what the return rule or a told limit allows; chance needs the rest
 const SILENCE: u32 = 4; // times the usual answer time, with nothing else answering
 const LOSSES: f64 = 3.0; // in a row make an outage; a full refusal counts half, being mostly a limit
 const BROKEN: f64 = 0.25; // losses for a connection that broke under a call, where traffic is not thin
@@ -100,8 +100,10 @@
     cut_at: Option<Duration>,
     health: Health,
     done: Tally,
-    asked: Tally, // packets taken for it
-    row: f64,     // losses since the last answer, and when they began
+    asked: Tally,         // packets taken for it
+    row: f64,             // losses since the last answer, and when they began
+    told: Option<Report>, // the last word of its limit, and whether it is news
+    news: bool,
     crowded: u32, // calls since the last answer that found its connections taken
     row_since: Duration,
     answered: Option<Duration>,
@@ -129,7 +131,7 @@
 
     fn limit(&self, now: Duration, figures: &Figures) -> Option<(f64, f64)> {
         let guard = self.guard(now, figures);
-        let rate = self.rate.unwrap_or(f64::INFINITY).min(guard);
+        let rate = self.rate.map_or(f64::INFINITY, |r| r.max(self.back_to(now, figures))).min(guard);
         let burst = if guard.is_finite() { 1.0 } else { rate * BURST };
         rate.is_finite().then_some((rate, burst))
     }
@@ -172,11 +174,32 @@
             Health::Back(since) if now - since >= figures.back.cold => self.health = Health::Well,
             Health::Back(_) => {}
         }
+        if let Some(told) = self.told.filter(|_| self.rate.is_some()) {
+            return self.heed(told, figures);
+        }
         let least = if self.listed.is_none() { FLOOR / 2.0 * figures.crowding } else { 0.0 };
         let (step, room) = ((self.top * LIFT).max(least), if figures.thin { room * FLOOR } else { 0.0 });
         self.rate = self.rate.map(|r| (r + step).max(room).min(self.listed.unwrap_or(f64::INFINITY)));
     }
 
+    /// What all senders together leave of the limit moves r: up while more than half is left, else down. That
+    /// share of this sender's part is always its own: if all take theirs, no more is used than was left.
+    fn heed(&mut self, told: Report, figures: &Figures) {
+        if std::mem::take(&mut self.news) {
+            let part = told.limit / figures.senders;
+            let heeded = |r: f64| (r * (0.5 + told.left)).max(told.left * part).min(told.limit);
+            self.rate = self.rate.map(heeded);
+        }
+    }
+
+    /// Where the limit is told, r is near this sender's part of it again a soft limit after its last cut: who
+    /// seldom calls seldom hears that there is room. Harm: refusals at a limit that all overrun.
+    fn back_to(&self, now: Duration, figures: &Figures) -> f64 {
+        let Some((told, cut)) = self.told.zip(self.cut_at) else { return 0.0 };
+        let since = now.saturating_sub(cut).as_secs_f64() / figures.soft.as_secs_f64();
+        GUARD * told.limit / figures.senders * since.min(1.0)
+    }
+
     /// A call came back without an answer. Losses in a row make an outage; one or two may be chance.
     /// Refusals of a limit come in short rows, those of a destination that is shut last a soft limit or more.
     fn note_loss(&mut self, now: Duration, weight: f64, figures: &Figures) {
@@ -208,7 +231,14 @@
             }
             // The floor is shared out among many senders only as refusals go on.
             let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT.min(room));
-            (self.rate, self.cut_at) = (Some(cut.max(FLOOR * figures.crowding)), Some(now));
+            // Where the limit is told, at most half of this sender's part is left, so that refused calls,
+            // which may use it up, end soon, and at least half of that.
+            let part = self.told.map(|told| told.limit / figures.senders);
+            let cut = match (self.rate, part) {
+                (Some(rate), Some(part)) => (rate * CUT).clamp(part * CUT * CUT, part * CUT),
+                _ => cut.max(FLOOR * figures.crowding),
+            };
+            (self.rate, self.cut_at) = (Some(cut), Some(now));
             self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
         }
         self.note_loss(now, 0.5, figures);
@@ -432,6 +462,19 @@
         }
     }
 
+    /// What the answer of a dispatch that is out tells of the limit, before its outcome. Heeded where traffic
+    /// is thin: elsewhere a sender's own answers tell more. Twice what is listed is the most to be believed.
+    pub fn report(&mut self, id: PacketId, report: Report) {
+        let Some(State::Out(call, _)) = self.packets.get(&id).map(|kept| kept.state) else { return };
+        let Some(lane) = self.lanes.get_mut(&self.calls[&call].lane) else { return };
+        let limit = report.limit.min(2.0 * lane.listed.unwrap_or(f64::INFINITY));
+        let told = Some(Report { limit, ..report });
+        if self.figures.thin && lane.told != told {
+            (lane.told, lane.news) = (told, true);
+            lane.top = 2.0 * limit / (1.0 + self.figures.senders);
+        }
+    }
+
     /// A dispatch came back. `over` is set once the packet has ended.
     pub fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool) {
         self.now = now.max(self.now);
@@ -778,7 +821,7 @@
             return false;
         }
         let Some(endpoint_id) = self.draw(id) else { return false };
-        let lane = self.endpoints[&endpoint_id].lane;
+        let (lane, free) = (self.endpoints[&endpoint_id].lane, self.tells(id));
         let batch = self.destinations[&id].batch.max(1);
         let may_go = self.held.get(&id).into_iter().flatten().filter(|packet| self.may_go(**packet));
         let mut ranked: Vec<_> =
@@ -800,7 +843,7 @@
             let Some(kept) = self.packets.get_mut(&packet) else { continue };
             let State::Held(doubt) = kept.state else { continue };
             kept.packet.dispatches += 1;
-            self.again -= if kept.refused { 1.0 } else { 0.0 };
+            self.again -= if kept.refused && !free { 1.0 } else { 0.0 };
             host.dispatch(packet, endpoint_id, time_out);
             self.turn(packet, State::Out(call, doubt));
         }
@@ -837,11 +880,17 @@
 
     fn may_go(&self, id: PacketId) -> bool {
         let kept = &self.packets[&id];
-        let again = !kept.refused || !self.figures.thin || self.again >= 1.0;
+        let free = !kept.refused || !self.figures.thin || self.tells(kept.packet.destination);
+        let again = free || self.again >= 1.0;
         let turn = kept.packet.key.filter(|_| kept.trade.in_order).and_then(|key| self.turns.get(&key));
         again && turn.is_none_or(|t| t.queue.front() == Some(&id) && t.rests_until <= self.now)
     }
 
+    /// Whether a destination tells of its limit, so that r alone holds back what was refused.
+    fn tells(&self, id: DestinationId) -> bool {
+        self.destinations[&id].lanes.iter().any(|lane| self.lanes[lane].told.is_some())
+    }
+
     /// Which held packet goes first. A lane in silence is tried with what may be repeated. Otherwise those
     /// within their customer's quota, then those that are not late, then the first to be wanted.
     fn rank(&self, id: PacketId, lane: &Lane) -> (Option<(Repeat, u32)>, bool, bool, Duration) {
--- a/src/host.rs
+++ b/src/host.rs
@@ -161,6 +161,15 @@
     Moot,
 }
 
+/// What an answer tells of a lane's limit for all senders together, late and noisy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Share of the limit that is left just now.
+    pub left: f64,
+    /// Calls a second.
+    pub limit: f64,
+}
+
 /// What carries out the decisions. All calls come from within [`Sender::decide`](crate::Sender::decide).
 pub trait Host {
     /// Dispatches of one round to one endpoint travel as one call, up to the kind's batch.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -693,3 +693,80 @@
     play.after(10);
     assert!(dismissed(&play), "it opens after their time");
 }
+
+/// A destination that takes `limit` calls a second, refused ones counted, before a hundred senders with a packet in six seconds
+/// each, whose limit is half of that from the 6th to the 26th second. Tells how many calls were done in each second.
+fn lowered_limit(tells: bool) -> Vec<usize> {
+    let limit_at = |second: usize| if (6..26).contains(&second) { 11.0 } else { 22.0 };
+    let new = |seed| {
+        let mut play = Play::new(Terms { senders: 100, dispatches: 9, ..terms() }, 1, 0, 22.0);
+        play.sender = Sender::new(Terms { senders: 100, dispatches: 9, ..terms() }, seed);
+        play.list(true, &[line(0, 0, 0, 22.0, true)]);
+        play
+    };
+    let mut plays: Vec<Play> = (0..100).map(new).collect();
+    let (mut left, mut done) = (22.0, vec![0; 40]);
+    for tick in 0..40 * 20 {
+        let second = tick / 20;
+        let limit = limit_at(second);
+        left = f64::min(left + limit / 20.0, limit);
+        for (at, play) in plays.iter_mut().enumerate() {
+            play.now = ms(50 * tick as u64);
+            if (tick + at * 7) % 120 == 0 {
+                play.take(1, 0, 1, None);
+            }
+            play.round();
+            for packet in play.out() {
+                let full = left < 1.0;
+                left = f64::max(left - 1.0, -limit);
+                if tells {
+                    let report = Report { left: left.max(0.0) / limit, limit };
+                    play.sender.report(PacketId(packet), report);
+                }
+                done[second] += usize::from(!full);
+                play.back(packet, if full { Outcome::Full(None) } else { Outcome::Done });
+            }
+        }
+    }
+    done
+}
+
+/// Fleet day join+vast: each of a hundred senders learned of a lowered limit by its own refused calls, which used it up, so that
+/// nothing was done in nine seconds; then each climbed from the floor by its few answers for the rest of the day.
+#[test]
+fn a_limit_lowered_and_restored_is_used_by_a_hundred_senders_that_are_told_of_it() {
+    let (done, untold) = (lowered_limit(true), lowered_limit(false));
+    let sum = |done: &[usize], span: std::ops::Range<usize>| done[span].iter().sum::<usize>();
+    let heard = sum(&done, 16..26);
+    assert!(heard >= 10 * 11 / 2, "half of what is left once each has heard by a call of its own: {done:?}");
+    assert!(
+        sum(&done, 31..40) >= 9 * 17 * 4 / 5,
+        "and nearly all that is asked for, five seconds after: {done:?}"
+    );
+    assert!(sum(&untold, 16..40) < sum(&done, 16..40) / 2, "without reports: {untold:?}");
+}
+
+/// A report is one word of many: an absurd one is not believed, and one that is refused all the same is cut.
+#[test]
+fn no_report_lifts_a_lane_beyond_twice_what_is_listed() {
+    let mut play = Play::new(Terms { senders: 100, hold: 900, dispatches: 9, ..terms() }, 1, 0, 4.0);
+    let mut calls = 0;
+    for left in (0..60).map(|n| 0.9 + f64::from(n) / 1000.0) {
+        play.take(3, 0, 0, None);
+        play.after(250);
+        for packet in play.out() {
+            calls += 1;
+            play.sender.report(PacketId(packet), Report { left, limit: 1e12 });
+            play.back(packet, Outcome::Done);
+        }
+    }
+    play.take(1, 0, 0, None);
+    play.after(250);
+    assert!(calls <= 15 * 8 + 2, "{calls} calls in 15 s, where twice the listed rate are 120");
+    for packet in play.out() {
+        play.sender.report(PacketId(packet), Report { left: 0.0, limit: 4.0 });
+        play.back(packet, Outcome::Full(None));
+    }
+    (0..10).for_each(|_| play.after(50));
+    assert_eq!(play.out().len(), 0, "half of a hundredth of the limit is no call in half a second");
+}
