The part of a told limit stands in one place; a pause's bounds cannot clash

Need: found reading the change again. told.limit / senders was written out three times, a filter in note_done() guarded nothing (where no rate stands there is none to move), and Pauses::next() would have panicked with a first span above the most.

--- a/crates/sailcart-sender/src/pauses.rs
+++ b/crates/sailcart-sender/src/pauses.rs
@@ -5,8 +5,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Each pause is drawn from a span that doubles with every failure in a row, up to `most`. Guards against hundreds of
-/// senders that were turned away together and come again together: they would keep out even those that are let in.
+/// Each pause is drawn from the whole of a span that doubles with every failure in a row, up to `most`. Guards against hundreds of
+/// senders that were turned away together and come again together: they would keep out even those that are let in. Libraries
+/// for this add chance on top of a sure pause, which keeps such a crowd together at first.
 pub struct Pauses {
     rng: ChaCha8Rng,
     least: Duration,
@@ -19,10 +20,10 @@
         Pauses { rng: ChaCha8Rng::seed_from_u64(seed), least, most, span: Duration::ZERO }
     }
 
-    /// The next pause. One who was turned away by a peer in its senses starts with a span of `first`.
+    /// The next pause; a row begins with a span of `first`, or of the least.
     pub fn next(&mut self, first: Duration) -> Duration {
-        self.span = (self.span * 2).clamp(self.least.max(first), self.most);
-        self.least + (self.span - self.least).mul_f64(self.rng.random())
+        self.span = (self.span * 2).max(first).max(self.least).min(self.most);
+        self.least + self.span.saturating_sub(self.least).mul_f64(self.rng.random())
     }
 
     /// It went well: the next failure is the first of its row.
--- a/src/control.rs
+++ b/src/control.rs
@@ -174,30 +174,36 @@
             Health::Back(since) if now - since >= figures.back.cold => self.health = Health::Well,
             Health::Back(_) => {}
         }
-        if let Some(told) = self.told.filter(|_| self.rate.is_some()) {
-            return self.heed(told, figures);
+        if self.heed_told(figures) {
+            return;
         }
         let least = if self.listed.is_none() { FLOOR / 2.0 * figures.crowding } else { 0.0 };
         let (step, room) = ((self.top * LIFT).max(least), if figures.thin { room * FLOOR } else { 0.0 });
         self.rate = self.rate.map(|r| (r + step).max(room).min(self.listed.unwrap_or(f64::INFINITY)));
     }
 
+    /// This sender's part of the limit that answers tell, where they do.
+    fn part(&self, figures: &Figures) -> Option<f64> {
+        self.told.map(|told| told.limit / figures.senders)
+    }
+
     /// What all senders together leave of the limit moves r: up while more than half is left, else down. That
     /// share of this sender's part is always its own: if all take theirs, no more is used than was left.
-    fn heed(&mut self, told: Report, figures: &Figures) {
+    fn heed_told(&mut self, figures: &Figures) -> bool {
+        let Some((told, part)) = self.told.zip(self.part(figures)) else { return false };
         if std::mem::take(&mut self.news) {
-            let part = told.limit / figures.senders;
             let heeded = |r: f64| (r * (0.5 + told.left)).max(told.left * part).min(told.limit);
             self.rate = self.rate.map(heeded);
         }
+        true
     }
 
     /// Where the limit is told, r is near this sender's part of it again a soft limit after its last cut: who
     /// seldom calls seldom hears that there is room. Harm: refusals at a limit that all overrun.
     fn back_to(&self, now: Duration, figures: &Figures) -> f64 {
-        let Some((told, cut)) = self.told.zip(self.cut_at) else { return 0.0 };
+        let Some((part, cut)) = self.part(figures).zip(self.cut_at) else { return 0.0 };
         let since = now.saturating_sub(cut).as_secs_f64() / figures.soft.as_secs_f64();
-        GUARD * told.limit / figures.senders * since.min(1.0)
+        GUARD * part * since.min(1.0)
     }
 
     /// A call came back without an answer. Losses in a row make an outage; one or two may be chance.
@@ -233,8 +239,7 @@
             let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT.min(room));
             // Where the limit is told, at most half of this sender's part is left, so that refused calls,
             // which may use it up, end soon, and at least half of that.
-            let part = self.told.map(|told| told.limit / figures.senders);
-            let cut = match (self.rate, part) {
+            let cut = match (self.rate, self.part(figures)) {
                 (Some(rate), Some(part)) => (rate * CUT).clamp(part * CUT * CUT, part * CUT),
                 _ => cut.max(FLOOR * figures.crowding),
             };
