Refused packets wait only where no limit is told; stories for each part of it

Now the mark is set as the packet is refused, the top stays with the listed rate, and each of the three has its story.

--- a/src/control.rs
+++ b/src/control.rs
@@ -292,7 +292,7 @@
     trade: Category,
     soft: Duration, // when its answer is wanted
     over_share: bool,
-    refused: bool,
+    refused: bool, // and goes again for a part of the answers only
     state: State,
 }
 
@@ -476,7 +476,6 @@
         let told = Some(Report { limit, ..report });
         if self.figures.thin && lane.told != told {
             (lane.told, lane.news) = (told, true);
-            lane.top = 2.0 * limit / (1.0 + self.figures.senders);
         }
     }
 
@@ -484,7 +483,10 @@
     pub fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool) {
         self.now = now.max(self.now);
         let Some(kept) = self.packets.get_mut(&id) else { return };
-        kept.refused |= matches!(outcome, Outcome::Full(_));
+        let lanes = self.destinations.get(&kept.packet.destination).into_iter().flat_map(|d| &d.lanes);
+        // Where limits are told, r alone holds back what was refused.
+        let untold = self.figures.thin && lanes.into_iter().all(|lane| self.lanes[lane].told.is_none());
+        kept.refused |= untold && matches!(outcome, Outcome::Full(_));
         let spent = if outcome == Outcome::Moot { self.figures.dispatches } else { 0 };
         kept.packet.dispatches = kept.packet.dispatches.max(spent);
         let (state, key, to) = (kept.state, kept.packet.key, kept.packet.destination);
@@ -826,7 +828,7 @@
             return false;
         }
         let Some(endpoint_id) = self.draw(id) else { return false };
-        let (lane, free) = (self.endpoints[&endpoint_id].lane, self.tells(id));
+        let lane = self.endpoints[&endpoint_id].lane;
         let batch = self.destinations[&id].batch.max(1);
         let may_go = self.held.get(&id).into_iter().flatten().filter(|packet| self.may_go(**packet));
         let mut ranked: Vec<_> =
@@ -848,7 +850,7 @@
             let Some(kept) = self.packets.get_mut(&packet) else { continue };
             let State::Held(doubt) = kept.state else { continue };
             kept.packet.dispatches += 1;
-            self.again -= if kept.refused && !free { 1.0 } else { 0.0 };
+            self.again -= if kept.refused { 1.0 } else { 0.0 };
             host.dispatch(packet, endpoint_id, time_out);
             self.turn(packet, State::Out(call, doubt));
         }
@@ -885,17 +887,11 @@
 
     fn may_go(&self, id: PacketId) -> bool {
         let kept = &self.packets[&id];
-        let free = !kept.refused || !self.figures.thin || self.tells(kept.packet.destination);
-        let again = free || self.again >= 1.0;
+        let again = !kept.refused || self.again >= 1.0;
         let turn = kept.packet.key.filter(|_| kept.trade.in_order).and_then(|key| self.turns.get(&key));
         again && turn.is_none_or(|t| t.queue.front() == Some(&id) && t.rests_until <= self.now)
     }
 
-    /// Whether a destination tells of its limit, so that r alone holds back what was refused.
-    fn tells(&self, id: DestinationId) -> bool {
-        self.destinations[&id].lanes.iter().any(|lane| self.lanes[lane].told.is_some())
-    }
-
     /// Which held packet goes first. A lane in silence is tried with what may be repeated. Otherwise those
     /// within their customer's quota, then those that are not late, then the first to be wanted.
     fn rank(&self, id: PacketId, lane: &Lane) -> (Option<(Repeat, u32)>, bool, bool, Duration) {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -87,7 +87,11 @@
 impl Play {
     /// Destination n has endpoint n and takes `rate` calls a second.
     pub fn new(terms: Terms, destinations: u32, kind: usize, rate: f64) -> Self {
-        let mut sender = Sender::new(terms, 7);
+        Play::seeded(7, terms, destinations, kind, rate)
+    }
+
+    pub fn seeded(seed: u64, terms: Terms, destinations: u32, kind: usize, rate: f64) -> Self {
+        let mut sender = Sender::new(terms, seed);
         let lines: Vec<_> = (0..destinations).map(|n| line(n, n, kind, rate, true)).collect();
         sender.list(Duration::ZERO, true, &lines);
         Play { sender, now: Duration::ZERO, asked: Asked::default(), next: 0 }
@@ -137,6 +141,11 @@
         self.sender.outcome(self.now, PacketId(packet), ms(100), outcome, outcome == Outcome::Done);
     }
 
+    /// A dispatch's answer tells of the limit, before it comes back.
+    pub fn told(&mut self, packet: u64, left: f64, limit: f64) {
+        self.sender.report(PacketId(packet), Report { left, limit });
+    }
+
     /// All dispatches that are out come back alike.
     pub fn all_back(&mut self, outcome: Outcome) {
         for packet in self.out() {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -490,9 +490,7 @@
 #[test]
 fn refused_senders_come_back_at_different_times() {
     let back = |seed| {
-        let mut play = Play::new(terms(), 1, 0, 4.0);
-        play.sender = Sender::new(Terms { senders: 40, ..terms() }, seed);
-        play.list(true, &[line(0, 0, 0, 4.0, true)]);
+        let mut play = Play::seeded(seed, Terms { senders: 40, ..terms() }, 1, 0, 4.0);
         play.take(1, 0, 0, None);
         play.round();
         play.all_back(Outcome::Full(None));
@@ -531,22 +529,31 @@
     assert_eq!(play.out().len(), 1);
 }
 
-/// lisboa-logs-later, big days: refused packets that went again kept small limits overrun for good.
+/// lisboa-logs-later, big days: refused packets that went again kept small limits overrun for good. Where limits are told they
+/// go as r allows.
 #[test]
 fn refused_packets_go_again_for_a_part_of_the_answers_only() {
-    let mut play = Play::new(Terms { senders: 40, dispatches: 9, ..terms() }, 60, 0, 40.0);
-    for destination in 0..30 {
-        play.take(1, destination, 0, None);
-        play.round();
-        play.all_back(Outcome::Full(None));
-    }
-    let mut again = 0;
-    for _ in 0..12 {
-        play.after(1500);
-        again += play.out().len();
-        play.all_back(Outcome::Full(None));
+    for told in [0, 15] {
+        let mut play = Play::new(Terms { senders: 40, dispatches: 9, ..terms() }, 60, 0, 40.0);
+        let mut again = [0, 0];
+        for round in 0..42 {
+            if round < 30 {
+                play.take(1, round, 0, None);
+            }
+            play.after(if round < 30 { 0 } else { 1500 });
+            for packet in play.out() {
+                let tells = packet <= told; // destinations are asked in turn, a packet each
+                again[usize::from(tells)] += usize::from(round >= 30);
+                if tells {
+                    play.told(packet, 0.0, 40.0);
+                }
+                play.back(packet, Outcome::Full(None));
+            }
+        }
+        let [waiting, free] = again;
+        assert!((4..=8).contains(&waiting) || told > 0, "no more than there are slots: {waiting}");
+        assert!((16..).contains(&free) || told == 0, "as r allows: {free}");
     }
-    assert!((4..=8).contains(&again), "no more than there are slots: {again}");
 }
 
 /// lisboa-logs-later, rough-2: packets whose lane would open after their time filled the hold until it ended.
@@ -567,9 +574,7 @@
 fn many_senders_together_do_not_push_over_what_returns() {
     let mut sent = 0;
     for seed in 0..40 {
-        let mut play = Play::new(terms(), 1, 0, 4.0);
-        play.sender = Sender::new(Terms { senders: 40, dispatches: 9, ..terms() }, seed);
-        play.list(true, &[line(0, 0, 0, 4.0, true)]);
+        let mut play = Play::seeded(seed, Terms { senders: 40, dispatches: 9, ..terms() }, 1, 0, 4.0);
         play.take(1, 0, 0, None);
         for _ in 0..400 {
             play.after(10);
@@ -694,34 +699,25 @@
     assert!(dismissed(&play), "it opens after their time");
 }
 
-/// A destination that takes `limit` calls a second, refused ones counted, before a hundred senders with a packet in six seconds
-/// each, whose limit is half of that from the 6th to the 26th second. Tells how many calls were done in each second.
+/// A destination that takes 22 calls a second, 11 from the 6th to the 26th, refused ones counted, before a hundred senders with
+/// a packet in six seconds each. Tells how many calls were done in each second.
 fn lowered_limit(tells: bool) -> Vec<usize> {
-    let limit_at = |second: usize| if (6..26).contains(&second) { 11.0 } else { 22.0 };
-    let new = |seed| {
-        let mut play = Play::new(Terms { senders: 100, dispatches: 9, ..terms() }, 1, 0, 22.0);
-        play.sender = Sender::new(Terms { senders: 100, dispatches: 9, ..terms() }, seed);
-        play.list(true, &[line(0, 0, 0, 22.0, true)]);
-        play
-    };
+    let new = |seed| Play::seeded(seed, Terms { senders: 100, dispatches: 9, ..terms() }, 1, 0, 22.0);
     let mut plays: Vec<Play> = (0..100).map(new).collect();
-    let (mut left, mut done) = (22.0, vec![0; 40]);
+    let (mut left, mut done) = (22.0_f64, vec![0; 40]);
     for tick in 0..40 * 20 {
         let second = tick / 20;
-        let limit = limit_at(second);
-        left = f64::min(left + limit / 20.0, limit);
+        let limit = if (6..26).contains(&second) { 11.0 } else { 22.0 };
+        left = (left + limit / 20.0).min(limit);
         for (at, play) in plays.iter_mut().enumerate() {
             play.now = ms(50 * tick as u64);
-            if (tick + at * 7) % 120 == 0 {
-                play.take(1, 0, 1, None);
-            }
+            play.take(u64::from((tick + at * 7) % 120 == 0), 0, 1, None);
             play.round();
             for packet in play.out() {
                 let full = left < 1.0;
-                left = f64::max(left - 1.0, -limit);
+                left = (left - 1.0).max(-limit);
                 if tells {
-                    let report = Report { left: left.max(0.0) / limit, limit };
-                    play.sender.report(PacketId(packet), report);
+                    play.told(packet, left.max(0.0) / limit, limit);
                 }
                 done[second] += usize::from(!full);
                 play.back(packet, if full { Outcome::Full(None) } else { Outcome::Done });
@@ -756,17 +752,39 @@
         play.after(250);
         for packet in play.out() {
             calls += 1;
-            play.sender.report(PacketId(packet), Report { left, limit: 1e12 });
+            play.told(packet, left, 1e12);
             play.back(packet, Outcome::Done);
         }
     }
     play.take(1, 0, 0, None);
     play.after(250);
-    assert!(calls <= 15 * 8 + 2, "{calls} calls in 15 s, where twice the listed rate are 120");
+    assert!((60..=15 * 8 + 2).contains(&calls), "{calls} calls in 15 s, where twice the listed rate are 120");
     for packet in play.out() {
-        play.sender.report(PacketId(packet), Report { left: 0.0, limit: 4.0 });
+        play.told(packet, 0.0, 4.0);
         play.back(packet, Outcome::Full(None));
     }
     (0..10).for_each(|_| play.after(50));
     assert_eq!(play.out().len(), 0, "half of a hundredth of the limit is no call in half a second");
 }
+
+/// Few senders hear enough by their own calls: a report moves nothing.
+#[test]
+fn what_answers_tell_counts_where_traffic_is_thin() {
+    let calls = |tells: bool| {
+        let mut play = Play::new(Terms { senders: 3, hold: 900, ..terms() }, 1, 0, 8.0);
+        play.take(300, 0, 0, None);
+        let mut calls = 0;
+        for _ in 0..20 {
+            play.after(100);
+            for packet in play.out() {
+                calls += 1;
+                if tells {
+                    play.told(packet, 1.0, 16.0);
+                }
+                play.back(packet, Outcome::Done);
+            }
+        }
+        calls
+    };
+    assert_eq!(calls(true), calls(false));
+}
