A list of long ago or one that is cut changes nothing, and the whole is asked for

A watch that answers with a lower version than the one held is now a fault like a list that cannot be read: one coded line, what is known stays, and after the pause the whole list is asked for; that one is taken whatever it counts. Stories, each caused on loopback: a list of long ago and one that is cut, a start with discovery out of reach, the told limit from an answer's header to the decisions (six calls within three seconds, untold more than four). A retry-after that is negative, no number or beyond any time is none, as before; that is now in the test of answers.

--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -102,7 +102,8 @@
     loop {
         let path = version.map_or(discovery::WHOLE.to_owned(), |version| discovery::watch(version, HOLD));
         let call = http::get(&wire.address().to_string(), &path);
-        match wire.call(&call, HOLD + ANSWER, discovery::MOST_LIST).await.and_then(understand) {
+        let reply = wire.call(&call, HOLD + ANSWER, discovery::MOST_LIST).await.and_then(understand);
+        match reply.and_then(|list| no_older(list, version)) {
             Ok(list) => {
                 if list.whole || !list.entries.is_empty() {
                     log::info!("discovery: version {}, {} entries", list.version, list.entries.len());
@@ -120,7 +121,8 @@
                 // An answer without a list comes from a discovery that has too much to do.
                 let turned_away = fault.kind() == io::ErrorKind::Other;
                 let pause = pauses.next(if turned_away { BUSY } else { PAUSE });
-                if wire.moves_within(pause).await {
+                // A list that cannot be, or discovery elsewhere, counts for nothing: the whole is asked for.
+                if wire.moves_within(pause).await || fault.kind() == io::ErrorKind::InvalidData {
                     version = None;
                 }
             }
@@ -136,6 +138,18 @@
     discovery::read(&reply.body).map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault.0))
 }
 
+/// Guards against a list of long ago, as of a discovery that fell behind. One that is so also when asked for the whole
+/// counts anew, and is taken.
+fn no_older(list: discovery::List, held: Option<u64>) -> io::Result<discovery::List> {
+    match held {
+        Some(held) if list.version < held => {
+            let words = format!("version {}, older than {held}", list.version);
+            Err(io::Error::new(io::ErrorKind::InvalidData, words))
+        }
+        _ => Ok(list),
+    }
+}
+
 /// Tells what notices are owed, again and again until the platform has them.
 pub async fn notify(place: Place, exchange: Rc<Exchange>) {
     let mut wire = Wire { place, stream: None };
--- a/crates/sailcart-sender/tests/pauses.rs
+++ b/crates/sailcart-sender/tests/pauses.rs
@@ -4,22 +4,18 @@
 
 use sailcart_sender::pauses::Pauses;
 
-/// A discovery that takes one call a fiftieth of a second and turns away, after two seconds, whoever waits longer: its work
-/// for them is done all the same. Tells when the last of `senders` that all asked at once has its list, in seconds.
-fn all_have_heard(senders: u64, mut pause: impl FnMut(u64) -> f64) -> Option<f64> {
-    let mut asking: Vec<(f64, u64)> = (0..senders).map(|sender| (0.0, sender)).collect();
-    let (mut free, mut heard) = (0.0_f64, 0.0_f64);
+/// A discovery that takes 20 calls a second and turns away, after two seconds, whoever waits longer; its work for them is done
+/// all the same. Tells when the last of a hundred senders that all asked at once has its list, if within two minutes.
+fn all_have_heard(mut pause: impl FnMut(usize) -> Duration) -> Option<f64> {
+    let mut asking: Vec<(f64, usize)> = (0..100).map(|sender| (0.0, sender)).collect();
+    let (mut free, mut heard) = (0.0_f64, 0.0);
     while !asking.is_empty() {
         asking.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let (at, sender) = asking.pop()?;
-        if at > 120.0 {
-            return None;
-        }
+        let (at, sender) = asking.pop().filter(|(at, _)| *at < 120.0)?;
         free = free.max(at) + 0.05;
-        if free <= at + 2.0 {
-            heard = free;
-        } else {
-            asking.push((at + 2.0 + pause(sender), sender));
+        match free - at {
+            ..=2.0 => heard = free,
+            _ => asking.push((at + 2.0 + pause(sender).as_secs_f64(), sender)),
         }
     }
     Some(heard)
@@ -30,11 +26,10 @@
 #[test]
 fn a_hundred_that_were_turned_away_let_each_other_in() {
     let (least, busy) = (Duration::from_millis(50), Duration::from_secs(4));
-    let new = |seed| Pauses::new(seed, least, busy * 10);
-    let mut own: Vec<Pauses> = (0..100).map(new).collect();
-    let heard = all_have_heard(100, |sender| own[sender as usize].next(busy).as_secs_f64());
+    let mut own: Vec<_> = (0..100).map(|seed| Pauses::new(seed, least, busy * 10)).collect();
+    let heard = all_have_heard(|sender| own[sender].next(busy));
     assert!(heard.is_some_and(|at| at < 20.0), "all have heard at {heard:?}");
-    assert_eq!(all_have_heard(100, |_| 0.05), None, "this discovery does not get through with fixed pauses");
+    assert_eq!(all_have_heard(|_| least), None, "this discovery does not get through with fixed pauses");
 }
 
 #[test]
--- a/crates/sailcart-sender/tests/peer/mod.rs
+++ b/crates/sailcart-sender/tests/peer/mod.rs
@@ -80,6 +80,8 @@
     pub busy: AtomicBool,
     /// Calls that it turned away.
     pub turned_away: AtomicUsize,
+    /// What the next call for the list is answered, in place of the list.
+    pub slip: Mutex<Option<String>>,
 }
 
 impl Platform {
@@ -109,6 +111,9 @@
             self.turned_away.fetch_add(1, Ordering::Relaxed);
             return answer("503 Service Unavailable", "", "");
         }
+        if let Some(slip) = self.slip.lock().expect("no panic").take() {
+            return answer("200 OK", "", &slip);
+        }
         let query = |name: &str| {
             let (_, after) = call.start.split_once(name)?;
             after.split(['&', ' ']).next()?.parse::<u64>().ok()
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -60,6 +60,7 @@
         let state = folder.to_str().expect("a plain path");
         let config = CONFIG
             .replace("127.0.0.1:6379", &listen.to_string())
+            .replace(r#""name": "n1","#, r#""name": "n1", "seed": "5eed","#)
             .replace("127.0.0.1:8500", &discovery.to_string())
             .replace("examples/state", state);
         let mut world = World { folder, config, listen, sender: None, discovery, platform, endpoint, came };
@@ -101,6 +102,13 @@
         self.platform.notices.lock().expect("no panic").clone()
     }
 
+    /// SIGHUP, with another configuration in the file.
+    fn reload(&self, config: &str) {
+        fs::write(self.folder.join("config.json"), config).expect("a configuration");
+        let pid = self.sender.as_ref().expect("a sender").id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
+    }
+
     fn kill(&mut self) {
         let mut sender = self.sender.take().expect("a sender");
         sender.kill().and_then(|()| sender.wait()).expect("the sender ends");
@@ -397,19 +405,13 @@
     let mut world = World::new("moved", |_, _| None);
     let (place, platform) = Platform::start("127.0.0.1:0");
     (0..2).for_each(|_| platform.list(&[entry("f", world.endpoint, 8, "Ready")]));
-    let pid = world.sender.as_ref().expect("a sender").id().to_string();
-    let file = world.folder.join("config.json");
-    let reload = |text: &str| {
-        fs::write(&file, text).expect("a configuration");
-        assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
-    };
-    reload(&world.config.replace(r#""call_slots": 8"#, r#""call_slots": 0"#));
+    world.reload(&world.config.replace(r#""call_slots": 8"#, r#""call_slots": 0"#));
     let kept = "the old configuration stays, code=faulty settings: expected more than 0 in call_slots";
     world.until("the fault", |world| world.log().contains(kept));
     world.config = world.config.replace(&world.discovery.to_string(), &place.to_string());
     world.platform.deaf.store(true, Ordering::Relaxed);
     let start = Instant::now();
-    reload(&world.config);
+    world.reload(&world.config);
     world.until("the new list", |world| world.log().contains("discovery: version 2, 1 entries"));
     assert!(start.elapsed() < Duration::from_secs(1), "a watch held at the old address is not waited for");
     let fields = "c=notice,t=acme,d=700,dest=8";
@@ -435,14 +437,65 @@
     let (place, platform) = Platform::start("127.0.0.1:0");
     (0..3).for_each(|_| platform.list(&[entry("e", world.endpoint, 7, "Ready")]));
     world.config = world.config.replace(&world.discovery.to_string(), &place.to_string());
-    fs::write(world.folder.join("config.json"), &world.config).expect("a configuration");
-    let pid = world.sender.as_ref().expect("a sender").id().to_string();
-    assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
+    world.reload(&world.config);
     let start = Instant::now();
     world.until("the new list", |world| world.log().contains("discovery: version 3, 1 entries"));
     assert!(start.elapsed() < Duration::from_secs(1), "a pause is not waited for");
 }
 
+/// A list of long ago and one that is cut: what is known stays, one line tells of it, and the whole list is asked for.
+#[test]
+fn a_list_that_cannot_be_changes_nothing() {
+    let world = World::new("slips", |_, _| answer("200 OK", "", ""));
+    let slips = [r#"{"generation":0,"reset":true,"instances":[]}"#, r#"{"generation":9,"reset":true,"inst"#];
+    for (nth, slip) in slips.into_iter().enumerate() {
+        let version = format!("discovery: version {}, 1 entries", nth + 2);
+        *world.platform.slip.lock().expect("no panic") = Some(slip.to_owned());
+        world.platform.list(&[entry("e", world.endpoint, 7, "Ready")]); // the next call meets the slip
+        world.until("the whole list again", |world| world.log().matches(&version).count() == 2);
+        assert_eq!(world.log().matches("code=no_list").count(), nth + 1);
+    }
+    assert!(!world.log().contains("discovery: version 0"));
+    assert_eq!(world.put("a1"), "+OK");
+    world.until("the call", |world| world.came() == ["a1"]);
+}
+
+/// A start of all senders at once, discovery out of reach: the list as last known serves, and one line tells of it.
+#[test]
+fn a_sender_starts_while_discovery_is_out_of_reach() {
+    let mut world = World::new("alone", |_, _| answer("200 OK", "", ""));
+    world.kill();
+    let known = format!(
+        r#""generation": 5, "reset": true, "instances": [{}]"#,
+        entry("e", world.endpoint, 7, "Ready")
+    );
+    let nowhere =
+        TcpListener::bind("127.83.2.1:0").and_then(|socket| socket.local_addr()).expect("an address");
+    let config = world.config.replace(r#""generation": 0, "reset": true, "instances": []"#, &known);
+    world.config = config.replace(&world.discovery.to_string(), &nowhere.to_string());
+    fs::write(world.folder.join("log"), "").expect("an empty log");
+    world.start();
+    assert_eq!(world.put("a1"), "+OK");
+    world.until("the call", |world| world.came() == ["a1"]);
+    sleep(Duration::from_secs(1));
+    assert_eq!(world.log().matches("code=no_list").count(), 1);
+}
+
+/// What answers tell of a limit reaches the decisions: one of a hundred senders is let off its first rate of a call a second.
+#[test]
+fn a_sender_of_many_goes_by_what_answers_tell() {
+    let report = |nth: usize| format!("X-Load-Report: x0=0.{},x1=100\r\n", 99 - nth);
+    let mut world = World::new("told", move |nth, _| answer("200 OK", &report(nth), ""));
+    world.kill();
+    let many = r#""balancers": 100, "report": { "how": "answers", "columns": ["x0", "x1"] },"#;
+    world.config = world.config.replace(r#""balancers": 1,"#, many);
+    world.start();
+    let start = Instant::now();
+    (0..6).for_each(|nth| assert_eq!(world.put(&format!("a{nth}")), "+OK"));
+    world.until("all calls", |world| world.came().len() == 6);
+    assert!(start.elapsed() < Duration::from_secs(3), "untold, they take more than four");
+}
+
 /// An id that comes again hears what its packet's client hears; the packet itself goes on as if it had not.
 #[test]
 fn a_twin_changes_nothing_for_its_packet() {
--- a/crates/sailcart-sender/tests/wire.rs
+++ b/crates/sailcart-sender/tests/wire.rs
@@ -75,6 +75,9 @@
         ("500 Internal Server Error\r\n", (Outcome::Error, false)),
         ("429 Too Many Requests\r\nretry-after: 0.25\r\n", (Outcome::Full(wait), false)),
         ("429 Too Many Requests\r\nRetry-After: 0\r\n", (Outcome::Full(None), false)),
+        ("429 Too Many Requests\r\nRetry-After: -1\r\n", (Outcome::Full(None), false)),
+        ("429 Too Many Requests\r\nRetry-After: NaN\r\n", (Outcome::Full(None), false)),
+        ("429 Too Many Requests\r\nRetry-After: 1e300\r\n", (Outcome::Full(None), false)),
         ("503 Service Unavailable\r\n", (Outcome::Full(None), false)),
         ("503 Service Unavailable\r\nX-Line-Busy: 1\r\n", (Outcome::NoSlot, false)),
         ("503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n", (Outcome::NoRoom, false)),
@@ -97,18 +100,9 @@
     };
     assert_eq!(told("x0=0.4,x1=25"), Some((0.4, 25.0)));
     assert_eq!(told("other=3, x1 = 25.5 , x0=0"), Some((0.0, 25.5)));
-    for none in ["", "x0=0.4", "x0=0.4,x1", "x0=0.4,x1=", "x0=-0.1,x1=25", "x0=1.1,x1=25", "x0=0.4,x1=0"] {
-        assert_eq!(told(none), None, "{none}");
-    }
-    for none in [
-        "x0=0.4,x1=-25",
-        "x0=NaN,x1=25",
-        "x0=0.4,x1=NaN",
-        "x0=0.4,x1=inf",
-        "x0=,x1=25",
-        "x0x1",
-        "x0=0.4;x1=2",
-    ] {
+    let cut = ["", "x0=0.4", "x0=0.4,x1", "x0=0.4,x1=", "x0=,x1=25", "x0x1", "x0=0.4;x1=2"];
+    let absurd = ["x0=-0.1,x1=25", "x0=1.1,x1=25", "x0=0.4,x1=0", "x0=0.4,x1=-25", "x0=NaN,x1=25"];
+    for none in cut.iter().chain(&absurd).chain(&["x0=0.4,x1=NaN", "x0=0.4,x1=inf"]) {
         assert_eq!(told(none), None, "{none}");
     }
 }
