Laboratory: limits that fall, answers that tell of them, and a herd before a cold destination

Need: the bound on what one of N senders can know was worked out and checked nowhere; the return of a herd with held packets was caused by no test.

--- a/crates/sailcart-lab/src/experiment/check.rs
+++ b/crates/sailcart-lab/src/experiment/check.rs
@@ -17,6 +17,7 @@
             Partial => &["destinations", "endpoint", "share"],
             Shut => &["destinations", "endpoint", "tells"],
             Slow => &["destinations", "endpoint", "factor"],
+            Lower => &["destinations", "share"],
             Drain => &["destinations", "endpoint"],
             Replace => &["destinations", "endpoint", "same_address"],
             Hot => &["destinations", "share"],
--- a/crates/sailcart-lab/src/experiment/mod.rs
+++ b/crates/sailcart-lab/src/experiment/mod.rs
@@ -415,6 +415,8 @@
     Shut,
     /// Service times grow by a factor.
     Slow,
+    /// Limits fall to a share of themselves.
+    Lower,
     /// A share of the calls runs and its answer never comes.
     AnswerLost,
     /// A share of the connections breaks before a call's last byte.
--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use sailcart::{EndpointId, Host, Listing, Outcome, Packet, PacketId, Sender, Terms};
+use sailcart::{EndpointId, Host, Listing, Outcome, Packet, PacketId, Report, Sender, Terms};
 use serde::{Deserialize, Serialize};
 
 pub use baseline::Baseline;
@@ -59,6 +59,8 @@
     fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]);
     fn take(&mut self, now: Duration, packet: Packet);
     fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool);
+    /// What the answer of a dispatch tells of the limit, before its outcome. No baseline heeds it.
+    fn report(&mut self, _: PacketId, _: Report) {}
     /// Asked before the first byte of a call that waited for its connection.
     fn may_still_go(&self, now: Duration, id: PacketId) -> bool;
     fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host);
@@ -106,6 +108,10 @@
         Sender::outcome(self, now, id, elapsed, outcome, over);
     }
 
+    fn report(&mut self, id: PacketId, report: Report) {
+        Sender::report(self, id, report);
+    }
+
     fn may_still_go(&self, now: Duration, id: PacketId) -> bool {
         Sender::may_still_go(self, now, id)
     }
--- a/crates/sailcart-lab/src/receivers/limit.rs
+++ b/crates/sailcart-lab/src/receivers/limit.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use sailcart::Report;
+
 use crate::experiment::{Limit, LimitBy};
 
 /// Seconds of its rate that an even limit grants at once.
@@ -10,6 +12,8 @@
 #[derive(Clone, Debug)]
 pub struct Gauge {
     limit: Limit,
+    /// The rate that is usual.
+    rate: f64,
     /// Calls left, where the rate is even; calls so far in this span otherwise.
     level: f64,
     at: Duration,
@@ -18,7 +22,16 @@
 impl Gauge {
     pub fn new(limit: &Limit) -> Self {
         let level = if limit.by == LimitBy::Rate { (limit.rate * BURST).max(1.0) } else { 0.0 };
-        Gauge { limit: limit.clone(), level, at: Duration::ZERO }
+        Gauge { limit: limit.clone(), rate: limit.rate, level, at: Duration::ZERO }
+    }
+
+    /// From now on its limit is this share of the usual. What is left by now stays, or what is used.
+    pub fn lower(&mut self, now: Duration, share: f64) {
+        if self.limit.rate != self.rate * share {
+            let left = self.read(now);
+            self.level = if self.limit.by == LimitBy::Rate { left } else { self.most() - left };
+            (self.limit.rate, self.at) = (self.rate * share, now);
+        }
     }
 
     fn most(&self) -> f64 {
@@ -75,9 +88,9 @@
     }
 
     /// Share of the limit that is left, and the limit in calls a second.
-    pub fn report(&self, now: Duration) -> Option<(f64, f64)> {
-        let limited = self.limit.by != LimitBy::None;
-        limited.then(|| ((self.read(now) / self.most()).clamp(0.0, 1.0), self.limit.rate))
+    pub fn report(&self, now: Duration) -> Option<Report> {
+        let left = (self.read(now) / self.most()).clamp(0.0, 1.0);
+        (self.limit.by != LimitBy::None).then_some(Report { left, limit: self.limit.rate })
     }
 }
 
--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -13,7 +13,7 @@
 use rand::prelude::Distribution;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::LogNormal;
-use sailcart::{DestinationId, EndpointId};
+use sailcart::{DestinationId, EndpointId, Report};
 
 use crate::experiment::{Destinations, Repeat, Spoil};
 use crate::plan::{OriginId, Plan, chance};
@@ -53,6 +53,13 @@
     Spoilt(Spoil),
 }
 
+impl Answer {
+    /// Its head can be read, and what stands there.
+    pub fn is_readable(&self) -> bool {
+        !matches!(self, Answer::Reset | Answer::Spoilt(_))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PieceAnswer {
     Accepted,
@@ -68,7 +75,7 @@
     /// Which of its packets take effect, in their order.
     pub effects: Vec<bool>,
     /// Share of the limit that is left, and the limit, where answers tell it.
-    pub report: Option<(f64, f64)>,
+    pub report: Option<Report>,
     /// This call pushed a cold destination over.
     pub fell: bool,
 }
@@ -217,6 +224,7 @@
         if conditions.drains && now >= conditions.drained {
             return full(None, None);
         }
+        gauge.lower(now, conditions.limit);
         let room = gauge.take(now);
         let report = group.report.then(|| gauge.report(now)).flatten();
         if let Err(wait) = room {
@@ -342,11 +350,9 @@
         let lossy = conditions.errors + conditions.answer_lost + conditions.reset_after > 0.5;
         let group = plan.group(own.destination);
         let there = place.from <= now && self.reachable(plan, now, endpoint) && now < conditions.drained;
-        if !there
-            || troubled
-            || lossy
-            || !gate.gauge.has_room(now, behind)
-            || !gate.recovery.has_room(now, behind)
+        let mut gauge = gate.gauge.clone();
+        gauge.lower(now, conditions.limit);
+        if !there || troubled || lossy || !gauge.has_room(now, behind) || !gate.recovery.has_room(now, behind)
         {
             return None;
         }
--- a/crates/sailcart-lab/src/shipped.rs
+++ b/crates/sailcart-lab/src/shipped.rs
@@ -19,6 +19,8 @@
     "drains",
     "hot-destination",
     "limits-overload",
+    "limits-lowered",
+    "herd",
     "cold-return",
     "spoilt",
     "bad-clients",
--- a/crates/sailcart-lab/src/simulated/mod.rs
+++ b/crates/sailcart-lab/src/simulated/mod.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
-use sailcart::{EndpointId, Outcome as Came, PacketId};
+use sailcart::{EndpointId, Outcome as Came, PacketId, Report};
 
 use crate::events::Log;
 use crate::experiment::TroubleKind;
@@ -70,8 +70,8 @@
     Connecting,
     /// Written, on its way to the receiver.
     Going,
-    /// It came; what it will be answered, if it will.
-    There(Option<Answer>),
+    /// It came; what it will be answered, if it will, and what that tells of the limit.
+    There(Option<Answer>, Option<Report>),
     Over,
 }
 
@@ -506,7 +506,7 @@
         }
         let due = reception.answer.as_ref().map(|(at, _)| *at + self.plan.experiment.network.transit);
         if let Some(flight) = self.flights.get_mut(&id) {
-            flight.turn(Stage::There(reception.answer.map(|(_, answer)| answer)));
+            flight.turn(Stage::There(reception.answer.map(|(_, answer)| answer), reception.report));
         }
         if let Some(due) = due {
             self.queue.push(due, Event::Back(id));
@@ -521,7 +521,11 @@
 
     fn answered(&mut self, id: u64) {
         let Some(flight) = self.flights.get(&id) else { return };
-        let Stage::There(Some(answer)) = flight.stage.clone() else { return };
+        let Stage::There(Some(answer), report) = flight.stage.clone() else { return };
+        let told = flight.packets.first().zip(report).filter(|_| answer.is_readable());
+        if let Some(((packet, report), policy)) = told.zip(self.posts[flight.sender.0].policy.as_mut()) {
+            policy.report(*packet, report);
+        }
         let several = flight.packets.len() > 1;
         let destination = self.plan.place(flight.endpoint).destination;
         match answer {
@@ -560,7 +564,7 @@
     /// A call is over: its connection is idle again or has ended, and each packet's outcome is told.
     fn back_each(&mut self, id: u64, outcomes: Vec<Came>) {
         let Some(mut flight) = self.flights.remove(&id) else { return };
-        let arrived = matches!(flight.stage, Stage::There(_));
+        let arrived = matches!(flight.stage, Stage::There(..));
         self.left(&flight);
         if flight.stage == Stage::Going {
             self.strays_in(id, &flight);
@@ -605,7 +609,7 @@
 
     /// A call that is over before it came is on its way no longer.
     fn left(&mut self, flight: &Flight) {
-        if !matches!(flight.stage, Stage::There(_)) {
+        if !matches!(flight.stage, Stage::There(..)) {
             self.going[self.receivers.gate(flight.endpoint)] -= 1;
         }
     }
@@ -667,7 +671,7 @@
         out.sort();
         for id in out {
             let Some(mut flight) = self.flights.remove(&id) else { continue };
-            let arrived = matches!(flight.stage, Stage::There(_));
+            let arrived = matches!(flight.stage, Stage::There(..));
             if flight.stage == Stage::Going {
                 self.strays_in(id, &flight);
             }
--- a/crates/sailcart-lab/src/sockets/wording.rs
+++ b/crates/sailcart-lab/src/sockets/wording.rs
@@ -7,7 +7,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use sailcart::EndpointId;
+use sailcart::{EndpointId, Report};
 use serde_json::{Value, json};
 
 use super::http::{Call, answer};
@@ -90,6 +90,7 @@
         "balancers": senders.count, "period_ms": ms(senders.round),
         "weights": if senders.rates_listed { "nominal" } else { "none" },
         "over_share_worth": rules.over_share,
+        "report": {"how": "answers", "columns": ["x0", "x1"]},
         "kinds": experiment.kinds.iter().map(|kind| &kind.name).collect::<Vec<_>>(),
         "lanes": lanes, "customers": customers,
         "domain": {
@@ -152,9 +153,10 @@
 }
 
 /// An answer as it is written; `None` where the connection just ends.
-pub fn written(what: &Answer, ids: &[String], report: Option<(f64, f64)>) -> Option<Vec<u8>> {
-    let report = report
-        .map_or(String::new(), |(left, limit)| format!("X-Load-Report: x0={left:.3},x1={limit:.3}\r\n"));
+pub fn written(what: &Answer, ids: &[String], report: Option<Report>) -> Option<Vec<u8>> {
+    let report = report.map_or(String::new(), |Report { left, limit }| {
+        format!("X-Load-Report: x0={left:.3},x1={limit:.3}\r\n")
+    });
     let several = ids.len() > 1;
     let states = |state: &dyn Fn(usize) -> &'static str| {
         let each: Vec<Value> =
