--- a/src/control.rs
+++ b/src/control.rs
@@ -101,10 +101,9 @@
     health: Health,
     done: Tally,
     asked: Tally,         // packets taken for it
+    told: Option<Report>, // the last word of its limit
     row: f64,             // losses since the last answer, and when they began
-    told: Option<Report>, // the last word of its limit, and whether it is news
-    news: bool,
-    crowded: u32, // calls since the last answer that found its connections taken
+    crowded: u32,         // calls since the last answer that found its connections taken
     row_since: Duration,
     answered: Option<Duration>,
     pace: Option<Duration>, // mean time to an answer
@@ -191,10 +190,8 @@
     /// share of this sender's part is always its own: if all take theirs, no more is used than was left.
     fn heed_told(&mut self, figures: &Figures) -> bool {
         let Some((told, part)) = self.told.zip(self.part(figures)) else { return false };
-        if std::mem::take(&mut self.news) {
-            let heeded = |r: f64| (r * (0.5 + told.left)).max(told.left * part).min(told.limit);
-            self.rate = self.rate.map(heeded);
-        }
+        let heeded = |r: f64| (r * (0.5 + told.left)).max(told.left * part).min(told.limit);
+        self.rate = self.rate.map(heeded);
         true
     }
 
@@ -471,11 +468,10 @@
     /// is thin: elsewhere a sender's own answers tell more. Twice what is listed is the most to be believed.
     pub fn report(&mut self, id: PacketId, report: Report) {
         let Some(State::Out(call, _)) = self.packets.get(&id).map(|kept| kept.state) else { return };
-        let Some(lane) = self.lanes.get_mut(&self.calls[&call].lane) else { return };
-        let limit = report.limit.min(2.0 * lane.listed.unwrap_or(f64::INFINITY));
-        let told = Some(Report { limit, ..report });
-        if self.figures.thin && lane.told != told {
-            (lane.told, lane.news) = (told, true);
+        let lane = self.lanes.get_mut(&self.calls[&call].lane).filter(|_| self.figures.thin);
+        if let Some(lane) = lane {
+            let limit = report.limit.min(2.0 * lane.listed.unwrap_or(f64::INFINITY));
+            lane.told = Some(Report { limit, ..report });
         }
     }
 
