--- a/crates/sailcart-lab/tests/hard_cases.rs
+++ b/crates/sailcart-lab/tests/hard_cases.rs
@@ -10,7 +10,6 @@
 use sailcart_lab::plan::{OriginId, SenderId};
 use sailcart_lab::policies::PolicyName;
 use sailcart_lab::receivers::{Answer, Connect, Piece, PieceAnswer, Receivers, Weather};
-use sailcart_lab::shipped;
 use sailcart_lab::watcher::{CallId, End, GateId, Handed, Heard, Rule, Seen, Watcher};
 
 const E: EndpointId = EndpointId(0);
