--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -65,6 +65,8 @@
             .replace("examples/state", state);
         let mut world = World { folder, config, listen, sender: None, discovery, platform, endpoint, came };
         world.start();
+        // A story that changes the list or discovery begins with a sender that knows the first list.
+        world.until("the first list", |world| world.log().contains("discovery: version 1, 1 entries"));
         world
     }
 
