A lane that lost a call rests by chance; a long told wait ends in a guarded return

Change: a told wait longer than a soft limit is an outage whose end is known: cold from then on, the first token drawn by chance. Where traffic is thin a lane that lost or was refused a call rests by chance, longer the longer its row lasts, at most the span from one packet to the next, over what the return rule leaves; the guard's part is at most what r starts from. It can't return, as the calls of those that were told are spread over what a cold lane takes, however many they are. Guards too against retries in step after any shared loss. Harm: one chance loss waits for seconds; a limit with spans over a soft limit looks like an outage.

--- a/src/control.rs
+++ b/src/control.rs
@@ -122,7 +122,10 @@
         };
         let present = back.cold_from + (1.0 - back.cold_from) * warm.min(1.0);
         let part = match self.listed {
-            _ if figures.thin => self.asked.read(now, figures.soft * 8) / (figures.soft * 8).as_secs_f64(),
+            listed if figures.thin => {
+                let asked = self.asked_rate(now, figures);
+                listed.map_or(asked, |_| asked.min(self.top)) // what is asked may be more than it ever takes
+            }
             listed => listed.map_or(self.usual, |listed| listed / figures.senders),
         };
         (GUARD * back.fall_multiple * present * part).max(FLOOR / figures.senders)
@@ -137,7 +140,10 @@
 
     /// How long until the bucket has a token and no wait stands; zero if a call may go now.
     fn opens_in(&self, now: Duration, figures: &Figures) -> Duration {
-        let deficit = |(rate, burst)| span_of(1.0 - self.bucket.read(now, rate, burst), rate);
+        let deficit = |(rate, burst)| {
+            let start = self.bucket.at.saturating_sub(now);
+            start.saturating_add(span_of(1.0 - self.bucket.read(now, rate, burst), rate))
+        };
         self.limit(now, figures).map_or(Duration::ZERO, deficit).max(self.blocked.saturating_sub(now))
     }
 
@@ -151,6 +157,10 @@
         self.expected(figures).saturating_mul(SILENCE).clamp(figures.soft / 8, figures.soft)
     }
 
+    fn asked_rate(&self, now: Duration, figures: &Figures) -> f64 {
+        self.asked.read(now, figures.soft * 8) / (figures.soft * 8).as_secs_f64()
+    }
+
     fn served(&self, now: Duration, figures: &Figures) -> f64 {
         self.done.read(now, figures.soft) / figures.soft.as_secs_f64()
     }
@@ -170,7 +180,9 @@
                 // Refusals of a destination that was shut said nothing of its limit.
                 self.rate = self.rate.map(|rate| rate.max(self.top));
             }
-            Health::Back(since) if now - since >= figures.back.cold => self.health = Health::Well,
+            Health::Back(since) if now.saturating_sub(since) >= figures.back.cold => {
+                self.health = Health::Well
+            }
             Health::Back(_) => {}
         }
         if self.heed_told(figures) {
@@ -214,6 +226,29 @@
         }
     }
 
+    /// A told wait. A long one ends with the return of a lane that was shut, cold, and for all that were told
+    /// of it at the same moment: the first call of each is drawn by chance. Harm: limits of long spans.
+    fn note_wait(&mut self, end: Duration, long: bool, chance: f64) {
+        self.blocked = self.blocked.max(end);
+        if long {
+            self.health = Health::Back(self.blocked);
+            self.bucket = Bucket { tokens: Some(chance), at: self.blocked };
+        }
+    }
+
+    /// Where traffic is thin an outage is a call or two to each sender, and all that were told of it return
+    /// together. So a lane rests by chance, longer the longer nothing was answered: the calls of those that
+    /// were told stay under what a cold lane can take, however many they are. Harm: one chance loss waits.
+    fn rest(&mut self, now: Duration, chance: f64, figures: &Figures) {
+        if figures.thin {
+            let least = if self.told.is_some() { Duration::ZERO } else { figures.back.cold / 8 };
+            let usual = span_of(1.0, self.asked_rate(now, figures)); // from one packet to the next
+            let span = (least + now.saturating_sub(self.row_since)).min(usual);
+            let cold = GUARD * figures.back.fall_multiple * figures.back.cold_from;
+            self.blocked = self.blocked.max(now.saturating_add(span.mul_f64(2.0 * chance / cold)));
+        }
+    }
+
     /// All connections are taken, which says nothing of the limit: the token comes back, and the lane rests
     /// by chance for about an answer time more with each such call, as others wait for the same room.
     fn note_no_room(&mut self, now: Duration, chance: f64, figures: &Figures) {
@@ -241,7 +276,9 @@
                 _ => cut.max(FLOOR * figures.crowding),
             };
             (self.rate, self.cut_at) = (Some(cut), Some(now));
-            self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
+            let at =
+                if matches!(self.health, Health::Back(since) if since > now) { self.blocked } else { now };
+            self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at };
         }
         self.note_loss(now, 0.5, figures);
     }
@@ -511,7 +548,7 @@
         let Some(lane) = self.lanes.get_mut(&call.lane) else { return call.sent };
         // Each outcome of a call may come in a round of its own and tells its wait anew: the longest stands.
         if let Outcome::Full(Some(wait)) = outcome {
-            lane.blocked = lane.blocked.max(now.saturating_add(wait));
+            lane.note_wait(now.saturating_add(wait), wait > figures.soft, chance);
         }
         if std::mem::replace(&mut call.judged, true) {
             return call.sent;
@@ -532,6 +569,7 @@
             Outcome::Full(_) => {
                 refusals.add(now, figures.soft * 8);
                 lane.note_full(now, call.sent, chance, room, figures);
+                lane.rest(now, chance, figures);
             }
             Outcome::NoRoom => {
                 let (kind, first) = (endpoint.kind, crowds.read(now, figures.soft * 8) <= WEAR);
@@ -552,8 +590,11 @@
                 let down = figures.thin && outcome == Outcome::NoConnection;
                 let health = lane.health;
                 lane.note_loss(now, if down { LOSSES / 2.0 } else { 1.0 }, figures);
+                lane.rest(now, chance, figures);
                 if figures.thin && lane.health != health {
                     lane.bucket = Bucket { tokens: Some(chance), at: now }; // no trials in step
+                } else if figures.thin && health == Health::Well {
+                    lane.bucket = Bucket { tokens: Some(1.0), at: lane.blocked }; // the rest alone decides
                 }
             }
         }
