--- a/src/control.rs
+++ b/src/control.rs
@@ -569,7 +569,10 @@
             Outcome::Full(_) => {
                 refusals.add(now, figures.soft * 8);
                 lane.note_full(now, call.sent, chance, room, figures);
-                lane.rest(now, chance, figures);
+                // Told that little is left, r answers; refused while there is room, it may be shut.
+                if lane.told.is_none_or(|told| told.left > 0.5) {
+                    lane.rest(now, chance, figures);
+                }
             }
             Outcome::NoRoom => {
                 let (kind, first) = (endpoint.kind, crowds.read(now, figures.soft * 8) <= WEAR);
