Many senders start from their part of listed rates; slots go first where answers come sooner

Change, where traffic is thin: a listed lane starts at twice its part, without the floor, unless answers tell of limits; a refusal leaves half of the part at least; an answer slower than twice the mean takes back what success lifted, as a queue grows there; the least rest goes by the soft limit; refused packets go as r allows where a rate is listed. Everywhere: among equal shares the slot goes where an answer comes sooner. Assumption that did not carry over: that answers tell of limits, so that a start too high is put right at once.

--- a/crates/sailcart-terms/src/lib.rs
+++ b/crates/sailcart-terms/src/lib.rs
@@ -89,6 +89,7 @@
             Some(_) => number(env, "over_share_worth")?,
         },
         kinds: (0..kinds.len()).map(|i| kind(domain, i)).collect::<Result<_, _>>()?,
+        limits_told: names.reports.is_some(),
         rates_listed: matches!(text(env, "weights")?, "nominal" | "rough"),
         late: match text(domain, "late")? {
             "line" => Late::Line,
--- a/src/control.rs
+++ b/src/control.rs
@@ -188,11 +188,22 @@
         if self.heed_told(figures) {
             return;
         }
+        if figures.thin && self.listed.is_some() && elapsed > figures.usual * 2 {
+            // A queue grows there, which holds slots: what success lifted is taken back. Harm: slow by nature.
+            self.rate = self.rate.map(|r| (r * CUT).max(self.top).min(r));
+            return;
+        }
         let least = if self.listed.is_none() { FLOOR / 2.0 * figures.crowding } else { 0.0 };
         let (step, room) = ((self.top * LIFT).max(least), if figures.thin { room * FLOOR } else { 0.0 });
         self.rate = self.rate.map(|r| (r + step).max(room).min(self.listed.unwrap_or(f64::INFINITY)));
     }
 
+    /// What refusals leave: half of this sender's part of what is listed, and its part of the floor.
+    fn least(&self, figures: &Figures) -> f64 {
+        let listed = self.listed.filter(|_| figures.thin).unwrap_or(0.0);
+        (listed / figures.senders * CUT).max(FLOOR * figures.crowding)
+    }
+
     /// This sender's part of the limit that answers tell, where they do.
     fn part(&self, figures: &Figures) -> Option<f64> {
         self.told.map(|told| told.limit / figures.senders)
@@ -241,7 +252,7 @@
     /// were told stay under what a cold lane can take, however many they are. Harm: one chance loss waits.
     fn rest(&mut self, now: Duration, chance: f64, figures: &Figures) {
         if figures.thin {
-            let least = if self.told.is_some() { Duration::ZERO } else { figures.back.cold / 8 };
+            let least = if self.told.is_some() { Duration::ZERO } else { figures.soft / 2 };
             let usual = span_of(1.0, self.asked_rate(now, figures)); // from one packet to the next
             let span = (least + now.saturating_sub(self.row_since)).min(usual);
             let cold = GUARD * figures.back.fall_multiple * figures.back.cold_from;
@@ -273,7 +284,7 @@
             // which may use it up, end soon, and at least half of that.
             let cut = match (self.rate, self.part(figures)) {
                 (Some(rate), Some(part)) => (rate * CUT).clamp(part * CUT * CUT, part * CUT),
-                _ => cut.max(FLOOR * figures.crowding),
+                _ => cut.max(self.least(figures)),
             };
             (self.rate, self.cut_at) = (Some(cut), Some(now));
             let at =
@@ -352,6 +363,7 @@
     quotas: Vec<f64>, // this sender's part of each customer's quota
     kinds: Vec<Kind>,
     rates_listed: bool,
+    limits_told: bool,
     by_halves: bool,
     soft: Duration,  // the tightest soft limit: the scale of all that is measured
     usual: Duration, // mean time to an answer anywhere: what a lane is judged by until its first
@@ -380,6 +392,7 @@
             quotas: terms.customers.iter().map(|c| c.quota / senders).collect(),
             kinds: terms.kinds,
             rates_listed: terms.rates_listed,
+            limits_told: terms.limits_told,
             by_halves: terms.late == Late::Halves,
             back: terms.back,
         }
@@ -439,7 +452,10 @@
                 // All senders fill from the listed rate, so each starts with a part, and climbs to the whole.
                 let part = 2.0 * line.rate / (1.0 + self.figures.senders);
                 (bucket.listed, bucket.top) = (Some(line.rate), part);
-                bucket.rate = Some(part.max(FLOOR).min(line.rate));
+                // Where answers tell of limits, the first ones put right what starts too high.
+                let shared = self.figures.thin && !self.figures.limits_told;
+                let least = if shared { FLOOR * self.figures.crowding } else { FLOOR };
+                bucket.rate = Some(part.max(least).min(line.rate));
             }
             if destination.endpoints.is_empty() && bucket.health == Health::Quiet {
                 bucket.health = Health::Well; // all machines are new
@@ -518,7 +534,8 @@
         let Some(kept) = self.packets.get_mut(&id) else { return };
         let lanes = self.destinations.get(&kept.packet.destination).into_iter().flat_map(|d| &d.lanes);
         // Where limits are told, r alone holds back what was refused.
-        let untold = self.figures.thin && lanes.into_iter().all(|lane| self.lanes[lane].told.is_none());
+        let blind = |lane: &Lane| lane.told.is_none() && lane.listed.is_none();
+        let untold = self.figures.thin && lanes.into_iter().all(|lane| blind(&self.lanes[lane]));
         kept.refused |= untold && matches!(outcome, Outcome::Full(_));
         let spent = if outcome == Outcome::Moot { self.figures.dispatches } else { 0 };
         kept.packet.dispatches = kept.packet.dispatches.max(spent);
@@ -812,7 +829,8 @@
         waiting.any(|id| self.destinations[id].lanes.iter().any(well))
     }
 
-    /// Past its bucket a packet takes any free slot; the next goes to whom is furthest below its share.
+    /// Past its bucket a packet takes any free slot; the next goes to whom is furthest below its share, among
+    /// equals to whom answers sooner: where slots are short, an hour of a slow one is many calls of others.
     fn place(&mut self, host: &mut impl Host) {
         let open = |lane: &LaneId| self.lanes[lane].opens_in(self.now, &self.figures).is_zero();
         let held = self.held.keys().copied().filter(|_| self.calls.len() < self.figures.slots);
@@ -823,7 +841,11 @@
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
-            let next = (0..ready.len()).max_by(|a, b| below(&ready[*a]).total_cmp(&below(&ready[*b])));
+            let rank = |id: &DestinationId| (below(id), self.expected(*id));
+            let next = (0..ready.len()).max_by(|a, b| {
+                let (a, b) = (rank(&ready[*a]), rank(&ready[*b]));
+                a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
+            });
             let Some(next) = next else { return };
             if !self.dispatch_one(ready[next], host) {
                 ready.swap_remove(next);
@@ -831,6 +853,11 @@
         }
     }
 
+    fn expected(&self, id: DestinationId) -> Duration {
+        let lanes = self.destinations[&id].lanes.iter();
+        lanes.map(|lane| self.lanes[lane].expected(&self.figures)).min().unwrap_or_default()
+    }
+
     /// Max-min shares of the slots by demand: calls in flight and packets held, up to the cap.
     fn shares(&self) -> BTreeMap<DestinationId, f64> {
         let takers: BTreeSet<_> =
--- a/src/host.rs
+++ b/src/host.rs
@@ -108,6 +108,8 @@
     pub kinds: Vec<Kind>,
     /// The destination list tells each destination's rate.
     pub rates_listed: bool,
+    /// Answers tell of limits ([`Report`]).
+    pub limits_told: bool,
     pub late: Late,
     pub back: Return,
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -36,6 +36,7 @@
         over_share: 0.05,
         kinds: vec![Kind { own_limits: false, batch: 1 }, Kind { own_limits: false, batch: 5 }],
         rates_listed: true,
+        limits_told: false,
         late: Late::Halves,
         back: Return { cold_from: 0.25, cold: ms(10_000), fall_multiple: 2.0 },
     }
