Two bad calls in a row make an outage where traffic is thin, refusals if they last and limits don't explain them

Cause, from the wire: a clump of 34 packets met two routes, one that failed its calls and one whose hung queue was full and refused them all. Some 40 of 287 senders went from one to the other and back; each refusal counted half a loss (note_full), so no lane was ever held for sick, and a rest of seconds each was not enough for so many. Change: where traffic is thin a loss of any kind weighs half of an outage, and so does a refusal that a report of little left does not explain, once the row has lasted a soft limit. From then on the return guard holds the lane until it answers. It can't return, as all that were told twice share what a cold lane takes, and those told once are spread by their rest. Harm: two chance refusals of a limit that tells nothing slow a lane until it answers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -228,10 +228,10 @@
 
     /// A call came back without an answer. Losses in a row make an outage; one or two may be chance.
     /// Refusals of a limit come in short rows, those of a destination that is shut last a soft limit or more.
-    fn note_loss(&mut self, now: Duration, weight: f64, figures: &Figures) {
+    fn note_loss(&mut self, now: Duration, weight: f64, sure: bool, figures: &Figures) {
         self.row_since = if self.row == 0.0 { now } else { self.row_since };
         self.row += weight;
-        let lasting = weight >= 1.0 || now.saturating_sub(self.row_since) >= figures.soft;
+        let lasting = sure || now.saturating_sub(self.row_since) >= figures.soft;
         if self.row >= LOSSES && lasting {
             self.health = Health::Sick;
         }
@@ -267,7 +267,7 @@
         let rest = self.expected(figures).mul_f64(2.0 * chance * f64::from(self.crowded));
         self.blocked = self.blocked.max(now.saturating_add(rest.min(figures.soft)));
         self.bucket.tokens = self.bucket.tokens.map(|tokens| tokens + 1.0);
-        self.note_loss(now, 0.5, figures);
+        self.note_loss(now, 0.5, false, figures);
     }
 
     /// Full: r is the served rate at the first refusal, then halves, and what tokens are left were not there.
@@ -291,7 +291,12 @@
                 if matches!(self.health, Health::Back(since) if since > now) { self.blocked } else { now };
             self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at };
         }
-        self.note_loss(now, 0.5, figures);
+        self.note_loss(now, if self.may_be_shut(figures) { LOSSES / 2.0 } else { 0.5 }, false, figures);
+    }
+
+    /// Told that little is left, r answers a refusal; refused while there is room, or not told, it may be shut.
+    fn may_be_shut(&self, figures: &Figures) -> bool {
+        figures.thin && self.told.is_none_or(|told| told.left > 0.5)
     }
 }
 
@@ -586,8 +591,7 @@
             Outcome::Full(_) => {
                 refusals.add(now, figures.soft * 8);
                 lane.note_full(now, call.sent, chance, room, figures);
-                // Told that little is left, r answers; refused while there is room, it may be shut.
-                if lane.told.is_none_or(|told| told.left > 0.5) {
+                if lane.may_be_shut(figures) {
                     lane.rest(now, chance, figures);
                 }
             }
@@ -603,13 +607,12 @@
             }
             Outcome::NoSlot | Outcome::Moot => {}
             // A peer that closes early is no outage: refused connects soon tell of one. Harm: until then.
-            Outcome::Reset if !figures.thin => lane.note_loss(now, BROKEN, figures),
+            Outcome::Reset if !figures.thin => lane.note_loss(now, BROKEN, false, figures),
             _ => {
                 losses.add(now, figures.soft * 8);
                 endpoint.cap = 1;
-                let down = figures.thin && outcome == Outcome::NoConnection;
                 let health = lane.health;
-                lane.note_loss(now, if down { LOSSES / 2.0 } else { 1.0 }, figures);
+                lane.note_loss(now, if figures.thin { LOSSES / 2.0 } else { 1.0 }, true, figures);
                 lane.rest(now, chance, figures);
                 if figures.thin && lane.health != health {
                     lane.bucket = Bucket { tokens: Some(chance), at: now }; // no trials in step
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -593,31 +593,49 @@
 }
 
 /// On sockets a restarted sender takes its packets back: what may have run decides what may become of them.
-/// sitio-central, hunted day h7ac0bf: 38 senders, told by a shut destination until when, all called as it opened: 2.5 times what it
-/// could do, cold. With them the first calls are spread and the sum stays within what the return rule leaves.
-#[test]
-fn waits_that_end_together_do_not_push_over_what_opens() {
-    let new = |seed| Play::seeded(seed, Terms { senders: 60, ..terms() }, 1, 0, 20.0);
-    let mut plays: Vec<Play> = (0..60).map(new).collect();
-    let (opens, mut came) = (ms(20_000), vec![0; 40]);
+/// Senders, asked for 20 packets a second together, before a destination that takes as many and is out from the 5th to the 20th
+/// second, where it answers as `out` says. Tells the calls of each half second since its return.
+fn returns(senders: usize, out: impl Fn(Duration) -> Outcome) -> Vec<usize> {
+    let terms = || Terms { senders, dispatches: 9, limits_told: true, ..terms() };
+    let new = |seed| Play::seeded(seed, terms(), 1, 0, 20.0);
+    let mut plays: Vec<Play> = (0..senders as u64).map(new).collect();
+    let (opens, mut came) = (ms(20_000), vec![0; 10]);
     for tick in 0..500_u64 {
         for (at, play) in plays.iter_mut().enumerate() {
             play.now = ms(50 * tick);
-            play.take(u64::from((tick + at as u64 * 7).is_multiple_of(40)), 0, 0, None);
+            play.take(u64::from((tick + at as u64 * 7).is_multiple_of(senders as u64)), 0, 0, None);
             play.round();
             for packet in play.out() {
                 if play.now >= opens {
                     came[(tick / 10 - 40) as usize] += 1;
                 }
-                let shut = play.now < opens && tick >= 100;
-                let wait = opens.saturating_sub(play.now);
-                play.back(packet, if shut { Outcome::Full(Some(wait)) } else { Outcome::Done });
+                let sick = play.now < opens && tick >= 100;
+                play.back(packet, if sick { out(opens - play.now) } else { Outcome::Done });
             }
         }
     }
-    let (most, told) = (2.0 * 0.25 * 20.0, came.iter().take(6).sum::<usize>());
-    assert!((5..).contains(&told), "it is tried again: {came:?}");
-    assert!(told as f64 <= 1.25 * most * 3.0, "{told} in three seconds: {came:?}");
+    came
+}
+
+/// What the return rule lets pass in the three seconds after a return, with a quarter for chance.
+const COLD_BUDGET: usize = (3.0 * 1.25 * 2.0 * 0.25 * 20.0) as usize;
+
+/// sitio-central, hunted day h7ac0bf: 38 senders, told by a shut destination until when, all called as it opened: 2.5 times what it
+/// could do, cold. With them the first calls are spread and the sum stays within what the return rule leaves.
+#[test]
+fn waits_that_end_together_do_not_push_over_what_opens() {
+    let came = returns(60, |left| Outcome::Full(Some(left)));
+    let told = came.iter().take(6).sum::<usize>();
+    assert!((5..=COLD_BUDGET).contains(&told), "{told} in three seconds: {came:?}");
+}
+
+/// sitio-central, hunted day hea70fe: the full queue of a hung destination refused each of 287 senders a call or two, which counted
+/// as half a loss each, and all went on at the rate of a limit: 3.8 times what it could do on its return.
+#[test]
+fn refusals_that_last_are_an_outage_where_traffic_is_thin() {
+    let came = returns(240, |_| Outcome::Full(None));
+    let told = came.iter().take(6).sum::<usize>();
+    assert!((5..=COLD_BUDGET).contains(&told), "{told} in three seconds: {came:?}");
 }
 
 /// quito-delivery, hunted day h0644ce: a clump of packets met a destination that failed its calls, a second before its return. Each
