Lists that come only when asked for are asked for; longer rests after refusals that told limits don't explain

Cause, from the wire: a clump of 53 packets was refused once by each of two hung routes at 41.8 s; the rest and the token of the cut were drawn with the same chance, one rising and one falling with it, so that both together ended between 4 and 6 s later for nearly all. Change: the rest is drawn against the token, and is twice as long where answers tell of limits and this refusal is not explained by them. A sender asks by chance within a quarter of the time after which it is held to know, twice as late with each failure in a row (Host::ask_list, Sender::list_failed).

--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -93,7 +93,9 @@
 impl Instance {
     pub fn new(wall: Duration, seed: u64, env: &Value) -> Result<Self, Fault> {
         let (terms, names) = sailcart_terms::read(env)?;
-        Ok(Instance { sender: Sender::new(terms, seed), names, book: Book::default(), start: wall })
+        let mut sender = Sender::new(terms, seed);
+        sender.list_failed(Duration::ZERO); // no watch stands yet
+        Ok(Instance { sender, names, book: Book::default(), start: wall })
     }
 
     fn now(&self, wall: Duration) -> Duration {
@@ -115,6 +117,10 @@
         Ok(())
     }
 
+    pub fn list_failed(&mut self, wall: Duration) {
+        self.sender.list_failed(self.now(wall));
+    }
+
     pub fn demand(&mut self, wall: Duration, row: &Row) -> Result<(), Fault> {
         let handle = row.text(0, "handle")?;
         let key = row.maybe(1).map(|key| take_text(key, "path_key")).transpose()?;
@@ -236,6 +242,10 @@
         self.out.push(json!(["Release", self.book.addresses.get(endpoint.0 as usize)]));
     }
 
+    fn ask_list(&mut self) {
+        self.out.push(json!(["Follow", true]));
+    }
+
     fn wake(&mut self, after: Duration) {
         self.out.push(json!(["Schedule", 0, ms(after)]));
     }
--- a/crates/sailcart-drill/src/main.rs
+++ b/crates/sailcart-drill/src/main.rs
@@ -65,7 +65,10 @@
             self.instances.get_mut(&id).ok_or_else(|| format!("expected Init before {}", row.name))?;
         match row.name {
             "Update" => match take_text(row.at(0, "form")?, "form")? {
-                "FAILED" => Ok(()),
+                "FAILED" => {
+                    instance.list_failed(wall);
+                    Ok(())
+                }
                 form @ ("INCREMENTAL" | "FULL" | "SAVED") => {
                     let sheet = row.whole(2, "sheet")?;
                     let entries =
--- a/crates/sailcart-lab/src/plan.rs
+++ b/crates/sailcart-lab/src/plan.rs
@@ -464,6 +464,7 @@
             .map(|kind| sailcart::Kind { own_limits: kind.own_limits, batch: kind.batch })
             .collect(),
         rates_listed: senders.rates_listed,
+        list_asked: None,
         limits_told: true, // as the settings that a sender on sockets is given say
         late: terms_late(experiment),
         back: Return {
--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -90,6 +90,10 @@
         self.0.close_idle(endpoint);
     }
 
+    fn ask_list(&mut self) {
+        self.0.ask_list();
+    }
+
     fn wake(&mut self, after: Duration) {
         self.0.wake(after);
     }
--- a/crates/sailcart-lab/src/simulated/sender.rs
+++ b/crates/sailcart-lab/src/simulated/sender.rs
@@ -76,6 +76,9 @@
         self.closings.push(endpoint);
     }
 
+    /// The lab's lists come unasked.
+    fn ask_list(&mut self) {}
+
     fn wake(&mut self, after: Duration) {
         self.wake = Some(self.wake.map_or(after, |before| before.min(after)));
     }
--- a/crates/sailcart-lab/tests/wrong_senders.rs
+++ b/crates/sailcart-lab/tests/wrong_senders.rs
@@ -62,6 +62,10 @@
     fn close_idle(&mut self, endpoint: EndpointId) {
         self.host.close_idle(endpoint);
     }
+    fn ask_list(&mut self) {
+        self.host.ask_list();
+    }
+
     fn wake(&mut self, after: Duration) {
         self.host.wake(after);
     }
--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -513,6 +513,9 @@
         self.closing.push((endpoint, "asked"));
     }
 
+    /// `platform.rs` keeps a watch open by itself.
+    fn ask_list(&mut self) {}
+
     fn wake(&mut self, after: Duration) {
         if let Some(at) = Instant::now().checked_add(after) {
             self.wakes.ask(at);
--- a/crates/sailcart-terms/src/lib.rs
+++ b/crates/sailcart-terms/src/lib.rs
@@ -90,6 +90,10 @@
         },
         kinds: (0..kinds.len()).map(|i| kind(domain, i)).collect::<Result<_, _>>()?,
         limits_told: names.reports.is_some(),
+        list_asked: match env.get("registry_mode").and_then(Value::as_str) {
+            Some("subscribe") => Some(ms(rules, "ask_within_ms")?),
+            _ => None,
+        },
         rates_listed: matches!(text(env, "weights")?, "nominal" | "rough"),
         late: match text(domain, "late")? {
             "line" => Late::Line,
--- a/src/control.rs
+++ b/src/control.rs
@@ -61,8 +61,8 @@
 
 impl Bucket {
     fn read(&self, now: Duration, rate: f64, burst: f64) -> f64 {
-        let (burst, accrued) = (burst.max(1.0), now.saturating_sub(self.at).as_secs_f64() * rate);
-        self.tokens.map_or(burst, |tokens| (tokens + accrued).min(burst))
+        let since = now.saturating_sub(self.at).as_secs_f64() - self.at.saturating_sub(now).as_secs_f64();
+        self.tokens.map_or(burst.max(1.0), |tokens| (tokens + since * rate).min(burst.max(1.0)))
     }
 
     fn take(&mut self, now: Duration, rate: f64, burst: f64) -> bool {
@@ -140,10 +140,7 @@
 
     /// How long until the bucket has a token and no wait stands; zero if a call may go now.
     fn opens_in(&self, now: Duration, figures: &Figures) -> Duration {
-        let deficit = |(rate, burst)| {
-            let start = self.bucket.at.saturating_sub(now);
-            start.saturating_add(span_of(1.0 - self.bucket.read(now, rate, burst), rate))
-        };
+        let deficit = |(rate, burst)| span_of(1.0 - self.bucket.read(now, rate, burst), rate);
         self.limit(now, figures).map_or(Duration::ZERO, deficit).max(self.blocked.saturating_sub(now))
     }
 
@@ -189,7 +186,7 @@
             return;
         }
         if figures.thin && self.listed.is_some() && elapsed > figures.usual * 2 {
-            // A queue grows there, which holds slots: what success lifted is taken back. Harm: slow by nature.
+            // A queue grows there and holds slots: what success lifted is taken back. Harm: slow by nature.
             self.rate = self.rate.map(|r| (r * CUT).max(self.top).min(r));
             return;
         }
@@ -198,12 +195,6 @@
         self.rate = self.rate.map(|r| (r + step).max(room).min(self.listed.unwrap_or(f64::INFINITY)));
     }
 
-    /// What refusals leave: half of this sender's part of what is listed, and its part of the floor.
-    fn least(&self, figures: &Figures) -> f64 {
-        let listed = self.listed.filter(|_| figures.thin).unwrap_or(0.0);
-        (listed / figures.senders * CUT).max(FLOOR * figures.crowding)
-    }
-
     /// This sender's part of the limit that answers tell, where they do.
     fn part(&self, figures: &Figures) -> Option<f64> {
         self.told.map(|told| told.limit / figures.senders)
@@ -250,9 +241,8 @@
     /// Where traffic is thin an outage is a call or two to each sender, and all that were told of it return
     /// together. So a lane rests by chance, longer the longer nothing was answered: the calls of those that
     /// were told stay under what a cold lane can take, however many they are. Harm: one chance loss waits.
-    fn rest(&mut self, now: Duration, chance: f64, figures: &Figures) {
+    fn rest(&mut self, now: Duration, least: Duration, chance: f64, figures: &Figures) {
         if figures.thin {
-            let least = if self.told.is_some() { Duration::ZERO } else { figures.soft / 2 };
             let usual = span_of(1.0, self.asked_rate(now, figures)); // from one packet to the next
             let span = (least + now.saturating_sub(self.row_since)).min(usual);
             let cold = GUARD * figures.back.fall_multiple * figures.back.cold_from;
@@ -278,23 +268,24 @@
             if self.listed.is_none() && self.row == 0.0 {
                 self.top = self.rate.unwrap_or(served).max(FLOOR);
             }
-            // The floor is shared out among many senders only as refusals go on.
             let cut = self.rate.map_or(served.max(FLOOR), |rate| rate * CUT.min(room));
-            // Where the limit is told, at most half of this sender's part is left, so that refused calls,
-            // which may use it up, end soon, and at least half of that.
+            // Where the limit is told, a quarter to half of this sender's part is left, as refused calls may
+            // use it up; else half of its part of what is listed at least, if traffic is thin.
+            let floor = FLOOR * figures.crowding;
             let cut = match (self.rate, self.part(figures)) {
                 (Some(rate), Some(part)) => (rate * CUT).clamp(part * CUT * CUT, part * CUT),
-                _ => cut.max(self.least(figures)),
+                _ if figures.thin => cut.max(self.listed.unwrap_or(0.0) / figures.senders * CUT).max(floor),
+                _ => cut.max(floor),
             };
             (self.rate, self.cut_at) = (Some(cut), Some(now));
-            let at =
-                if matches!(self.health, Health::Back(since) if since > now) { self.blocked } else { now };
-            self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at };
+            if self.blocked <= now || self.health == Health::Well {
+                self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
+            }
         }
         self.note_loss(now, if self.may_be_shut(figures) { LOSSES / 2.0 } else { 0.5 }, false, figures);
     }
 
-    /// Told that little is left, r answers a refusal; refused while there is room, or not told, it may be shut.
+    /// Told that little is left, r answers a refusal; with room left, or not told, it may be an outage.
     fn may_be_shut(&self, figures: &Figures) -> bool {
         figures.thin && self.told.is_none_or(|told| told.left > 0.5)
     }
@@ -369,6 +360,7 @@
     kinds: Vec<Kind>,
     rates_listed: bool,
     limits_told: bool,
+    list_asked: Option<Duration>,
     by_halves: bool,
     soft: Duration,  // the tightest soft limit: the scale of all that is measured
     usual: Duration, // mean time to an answer anywhere: what a lane is judged by until its first
@@ -398,6 +390,7 @@
             kinds: terms.kinds,
             rates_listed: terms.rates_listed,
             limits_told: terms.limits_told,
+            list_asked: terms.list_asked,
             by_halves: terms.late == Late::Halves,
             back: terms.back,
         }
@@ -424,6 +417,8 @@
     again: f64,                          // refused packets that may go again where traffic is thin
     spent: Vec<(PacketId, Option<Duration>)>, // packets to be answered this round, and what wait is told
     woken_at: Option<Duration>,
+    ask_at: Option<Duration>, // when the list is asked for, where it does not come unasked
+    asks_lost: u32,           // in a row
 }
 
 impl Sender {
@@ -435,6 +430,15 @@
         Sender { again, customers, wear, rng, figures: Figures::new(terms), ..Sender::default() }
     }
 
+    /// At the start, and when the list was asked for in vain or its watch broke, perhaps for all: each asks
+    /// by chance within a quarter of the time in which it has to, twice as long with each failure in a row.
+    pub fn list_failed(&mut self, now: Duration) {
+        let Some((within, rng)) = self.figures.list_asked.zip(self.rng.as_mut()) else { return };
+        let span = (within / 4).saturating_mul(1 << self.asks_lost.min(2));
+        self.ask_at = Some(now.saturating_add(span.mul_f64(rng.random())));
+        self.asks_lost += 1;
+    }
+
     pub fn holds(&self, id: PacketId) -> bool {
         self.packets.contains_key(&id)
     }
@@ -443,6 +447,7 @@
     /// destination only after the time of warming, as a wait may last.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
         self.now = now.max(self.now);
+        self.asks_lost = if self.ask_at.is_none() { 0 } else { self.asks_lost };
         if whole {
             self.endpoints.values_mut().for_each(|e| e.live = false);
         }
@@ -592,7 +597,9 @@
                 refusals.add(now, figures.soft * 8);
                 lane.note_full(now, call.sent, chance, room, figures);
                 if lane.may_be_shut(figures) {
-                    lane.rest(now, chance, figures);
+                    // Beside told limits it says more; not in step with the cut's token.
+                    let least = figures.soft / if figures.limits_told { 1 } else { 2 };
+                    lane.rest(now, least, 1.0 - chance, figures);
                 }
             }
             Outcome::NoRoom => {
@@ -613,7 +620,8 @@
                 endpoint.cap = 1;
                 let health = lane.health;
                 lane.note_loss(now, if figures.thin { LOSSES / 2.0 } else { 1.0 }, true, figures);
-                lane.rest(now, chance, figures);
+                let least = lane.told.map_or(figures.soft / 2, |_| Duration::ZERO);
+                lane.rest(now, least, chance, figures);
                 if figures.thin && lane.health != health {
                     lane.bucket = Bucket { tokens: Some(chance), at: now }; // no trials in step
                 } else if figures.thin && health == Health::Well {
@@ -720,6 +728,9 @@
 
     pub fn decide(&mut self, now: Duration, host: &mut impl Host) {
         self.now = now.max(self.now);
+        if self.ask_at.take_if(|at| *at <= self.now).is_some() {
+            host.ask_list();
+        }
         self.end_due(host);
         self.close_idle(host);
         self.watch_silence();
@@ -844,7 +855,8 @@
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
-            let rank = |id: &DestinationId| (below(id), self.expected(*id));
+            let sooner = |lane| self.lanes[lane].expected(&self.figures);
+            let rank = |id| (below(id), self.destinations[id].lanes.iter().map(sooner).min());
             let next = (0..ready.len()).max_by(|a, b| {
                 let (a, b) = (rank(&ready[*a]), rank(&ready[*b]));
                 a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
@@ -856,11 +868,6 @@
         }
     }
 
-    fn expected(&self, id: DestinationId) -> Duration {
-        let lanes = self.destinations[&id].lanes.iter();
-        lanes.map(|lane| self.lanes[lane].expected(&self.figures)).min().unwrap_or_default()
-    }
-
     /// Max-min shares of the slots by demand: calls in flight and packets held, up to the cap.
     fn shares(&self) -> BTreeMap<DestinationId, f64> {
         let takers: BTreeSet<_> =
@@ -979,7 +986,7 @@
         let rests = self.turns.values().filter(|turn| !turn.queue.is_empty()).map(|turn| turn.rests_until);
         let silences = self.calls.values().map(|c| c.sent + self.lanes[&c.lane].quiet_after(figures));
         let due = self.due.first().map(|(at, _)| *at);
-        let times = opens.chain(rests).chain(silences).chain(due);
+        let times = opens.chain(rests).chain(silences).chain(due).chain(self.ask_at);
         let Some(next) = times.filter(|at| *at > now && *at < Duration::MAX).min() else { return };
         if self.woken_at.is_none_or(|at| at <= now || next < at) {
             self.woken_at = Some(next);
--- a/src/host.rs
+++ b/src/host.rs
@@ -108,6 +108,9 @@
     pub kinds: Vec<Kind>,
     /// The destination list tells each destination's rate.
     pub rates_listed: bool,
+    /// The list comes only when asked for: a sender is held to know what was listed so long ago. `None` where it
+    /// comes unasked.
+    pub list_asked: Option<Duration>,
     /// Answers tell of limits ([`Report`]).
     pub limits_told: bool,
     pub late: Late,
@@ -184,6 +187,9 @@
     fn scrap(&mut self, packet: PacketId);
     /// Close this sender's idle connections to an endpoint.
     fn close_idle(&mut self, endpoint: EndpointId);
+    /// Ask for the list and its changes from now on; answered by news of the list, or by
+    /// [`Sender::list_failed`](crate::Sender::list_failed). Only where [`Terms::list_asked`].
+    fn ask_list(&mut self);
     /// Ask for a round after this span at the latest.
     fn wake(&mut self, after: Duration);
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -37,6 +37,7 @@
         kinds: vec![Kind { own_limits: false, batch: 1 }, Kind { own_limits: false, batch: 5 }],
         rates_listed: true,
         limits_told: false,
+        list_asked: None,
         late: Late::Halves,
         back: Return { cold_from: 0.25, cold: ms(10_000), fall_multiple: 2.0 },
     }
@@ -55,6 +56,7 @@
     pub closed: Vec<EndpointId>,
     pub answers: Vec<(u64, Answer)>,
     pub wake: Option<Duration>,
+    pub lists: u32,
 }
 
 impl Host for Asked {
@@ -73,6 +75,9 @@
     fn close_idle(&mut self, endpoint: EndpointId) {
         self.closed.push(endpoint);
     }
+    fn ask_list(&mut self) {
+        self.lists += 1;
+    }
     fn wake(&mut self, after: Duration) {
         self.wake = Some(after);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -697,6 +697,41 @@
     assert_eq!(play.out(), fast, "not {slow:?}");
 }
 
+/// serampore-stores: the register answers only when asked, and only so many at once. Each sender asks at a moment of its own, well
+/// within the time in which it has to, and comes again later with each failure.
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_by_chance() {
+    let mut first = BTreeSet::new();
+    for seed in 0..8 {
+        let terms = Terms { list_asked: Some(ms(10_000)), ..terms() };
+        let mut play = Play::seeded(seed, terms, 1, 0, 8.0);
+        let asked = |play: &mut Play| {
+            let (lists, start) = (play.asked.lists, play.now);
+            while play.asked.lists == lists {
+                play.after(10);
+                assert!(play.now - start <= ms(10_100), "not asked");
+            }
+            play.now - start
+        };
+        play.sender.list_failed(play.now);
+        let once = asked(&mut play);
+        assert!(once <= ms(2600), "{once:?}");
+        first.insert(once);
+        let row: Vec<_> = (0..4)
+            .map(|_| {
+                play.sender.list_failed(play.now);
+                asked(&mut play)
+            })
+            .collect();
+        assert!(row.iter().any(|pause| *pause > ms(2500)), "{row:?}");
+        let lists = play.asked.lists;
+        play.list(true, &[line(0, 0, 0, 8.0, true)]);
+        (0..200).for_each(|_| play.after(100));
+        assert_eq!(play.asked.lists, lists, "a watch that stands is not asked for again");
+    }
+    assert!(first.len() > 5, "at moments of their own: {first:?}");
+}
+
 #[test]
 fn packets_that_outlived_a_restart_keep_their_doubt() {
     let mut play = Play::new(terms(), 1, 0, 100.0);
