--- a/src/control.rs
+++ b/src/control.rs
@@ -855,7 +855,7 @@
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
-            let sooner = |lane| self.lanes[lane].pace.unwrap_or(self.figures.usual);
+            let sooner = |lane| self.lanes[lane].expected(&self.figures);
             let rank = |id| (below(id), self.destinations[id].lanes.iter().map(sooner).min());
             let next = (0..ready.len()).max_by(|a, b| {
                 let (a, b) = (rank(&ready[*a]), rank(&ready[*b]));
