--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -592,7 +592,6 @@
     assert!((1..=16).contains(&sent), "in 2 s four times 4 calls a second fall over: {sent}");
 }
 
-/// On sockets a restarted sender takes its packets back: what may have run decides what may become of them.
 /// Senders, asked for 20 packets a second together, before a destination that takes as many and is out from the 5th to the 20th
 /// second, where it answers as `out` says. Tells the calls of each half second since its return.
 fn returns(senders: usize, out: impl Fn(Duration) -> Outcome) -> Vec<usize> {
@@ -732,6 +731,7 @@
     assert!(first.len() > 5, "at moments of their own: {first:?}");
 }
 
+/// On sockets a restarted sender takes its packets back: what may have run decides what may become of them.
 #[test]
 fn packets_that_outlived_a_restart_keep_their_doubt() {
     let mut play = Play::new(terms(), 1, 0, 100.0);
