--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -93,7 +93,9 @@
 impl Instance {
     pub fn new(wall: Duration, seed: u64, env: &Value) -> Result<Self, Fault> {
         let (terms, names) = sailcart_terms::read(env)?;
-        Ok(Instance { sender: Sender::new(terms, seed), names, book: Book::default(), start: wall })
+        let mut sender = Sender::new(terms, seed);
+        sender.list_failed(Duration::ZERO); // no watch stands yet
+        Ok(Instance { sender, names, book: Book::default(), start: wall })
     }
 
     fn now(&self, wall: Duration) -> Duration {
--- a/src/control.rs
+++ b/src/control.rs
@@ -122,7 +122,10 @@
         };
         let present = back.cold_from + (1.0 - back.cold_from) * warm.min(1.0);
         let part = match self.listed {
-            _ if figures.thin => self.asked_rate(now, figures),
+            listed if figures.thin => {
+                let asked = self.asked_rate(now, figures);
+                listed.map_or(asked, |_| asked.min(self.top)) // what is asked may be more than it ever takes
+            }
             listed => listed.map_or(self.usual, |listed| listed / figures.senders),
         };
         (GUARD * back.fall_multiple * present * part).max(FLOOR / figures.senders)
@@ -151,10 +154,8 @@
         self.expected(figures).saturating_mul(SILENCE).clamp(figures.soft / 8, figures.soft)
     }
 
-    /// What this sender is asked of late; where a rate is listed, no more than r starts from.
     fn asked_rate(&self, now: Duration, figures: &Figures) -> f64 {
-        let most = self.listed.map_or(f64::INFINITY, |_| self.top);
-        most.min(self.asked.read(now, figures.soft * 8) / (figures.soft * 8).as_secs_f64())
+        self.asked.read(now, figures.soft * 8) / (figures.soft * 8).as_secs_f64()
     }
 
     fn served(&self, now: Duration, figures: &Figures) -> f64 {
@@ -176,10 +177,10 @@
                 // Refusals of a destination that was shut said nothing of its limit.
                 self.rate = self.rate.map(|rate| rate.max(self.top));
             }
-            Health::Back(since) => {
-                let warm = now.saturating_sub(since) >= figures.back.cold;
-                self.health = if warm { Health::Well } else { self.health };
+            Health::Back(since) if now.saturating_sub(since) >= figures.back.cold => {
+                self.health = Health::Well
             }
+            Health::Back(_) => {}
         }
         if self.heed_told(figures) {
             return;
@@ -243,7 +244,7 @@
     fn rest(&mut self, now: Duration, least: Duration, chance: f64, figures: &Figures) {
         if figures.thin {
             let usual = span_of(1.0, self.asked_rate(now, figures)); // from one packet to the next
-            let span = (least + now.saturating_sub(self.row_since)).min(usual).min(figures.soft * 8);
+            let span = (least + now.saturating_sub(self.row_since)).min(usual);
             let cold = GUARD * figures.back.fall_multiple * figures.back.cold_from;
             self.blocked = self.blocked.max(now.saturating_add(span.mul_f64(2.0 * chance / cold)));
         }
@@ -277,18 +278,16 @@
                 _ => cut.max(floor),
             };
             (self.rate, self.cut_at) = (Some(cut), Some(now));
-            if self.bucket.at <= now {
+            if self.blocked <= now || self.health == Health::Well {
                 self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
             }
         }
-        // Told that little is left, r answers; with room left, or not told, it may be an outage, the more so
-        // where answers tell of limits. The rest is not drawn in step with the cut's token.
-        let unexplained = figures.thin && self.told.is_none_or(|told| told.left > 0.5);
-        self.note_loss(now, if unexplained { LOSSES / 2.0 } else { 0.5 }, false, figures);
-        if unexplained {
-            let least = if figures.limits_told { figures.soft * 2 } else { figures.soft / 2 };
-            self.rest(now, least, 1.0 - chance, figures);
-        }
+        self.note_loss(now, if self.may_be_shut(figures) { LOSSES / 2.0 } else { 0.5 }, false, figures);
+    }
+
+    /// Told that little is left, r answers a refusal; with room left, or not told, it may be an outage.
+    fn may_be_shut(&self, figures: &Figures) -> bool {
+        figures.thin && self.told.is_none_or(|told| told.left > 0.5)
     }
 }
 
@@ -428,10 +427,7 @@
         let rng = Some(ChaCha8Rng::seed_from_u64(seed));
         let wear = terms.kinds.iter().map(|_| Default::default()).collect();
         let again = terms.slots as f64;
-        let figures = Figures::new(terms);
-        let mut sender = Sender { again, customers, wear, rng, figures, ..Sender::default() };
-        sender.list_failed(Duration::ZERO);
-        sender
+        Sender { again, customers, wear, rng, figures: Figures::new(terms), ..Sender::default() }
     }
 
     /// At the start, and when the list was asked for in vain or its watch broke, perhaps for all: each asks
@@ -600,6 +596,11 @@
             Outcome::Full(_) => {
                 refusals.add(now, figures.soft * 8);
                 lane.note_full(now, call.sent, chance, room, figures);
+                if lane.may_be_shut(figures) {
+                    // Beside told limits it says more; not in step with the cut's token.
+                    let least = figures.soft / if figures.limits_told { 1 } else { 2 };
+                    lane.rest(now, least, 1.0 - chance, figures);
+                }
             }
             Outcome::NoRoom => {
                 let (kind, first) = (endpoint.kind, crowds.read(now, figures.soft * 8) <= WEAR);
@@ -620,7 +621,6 @@
                 let health = lane.health;
                 lane.note_loss(now, if figures.thin { LOSSES / 2.0 } else { 1.0 }, true, figures);
                 let least = lane.told.map_or(figures.soft / 2, |_| Duration::ZERO);
-                let least = if outcome == Outcome::Error { figures.back.cold / 4 } else { least };
                 lane.rest(now, least, chance, figures);
                 if figures.thin && lane.health != health {
                     lane.bucket = Bucket { tokens: Some(chance), at: now }; // no trials in step
@@ -844,26 +844,25 @@
     }
 
     /// Past its bucket a packet takes any free slot; the next goes to whom is furthest below its share, among
-    /// equals to whom answers sooner: where slots are short, one slow call is many of others.
+    /// equals to whom answers sooner: where slots are short, an hour of a slow one is many calls of others.
     fn place(&mut self, host: &mut impl Host) {
         let open = |lane: &LaneId| self.lanes[lane].opens_in(self.now, &self.figures).is_zero();
         let held = self.held.keys().copied().filter(|_| self.calls.len() < self.figures.slots);
-        let ready = held.filter(|id| self.destinations[id].lanes.iter().any(open));
-        let sooner = |lane| self.lanes[lane].expected(&self.figures);
-        let mut ready: Vec<_> =
-            ready.map(|id| (id, self.destinations[&id].lanes.iter().map(sooner).min())).collect();
+        let mut ready: Vec<_> = held.filter(|id| self.destinations[id].lanes.iter().any(open)).collect();
         if ready.is_empty() {
             return;
         }
         let shares = self.shares();
         while self.calls.len() < self.figures.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
+            let sooner = |lane| self.lanes[lane].expected(&self.figures);
+            let rank = |id| (below(id), self.destinations[id].lanes.iter().map(sooner).min());
             let next = (0..ready.len()).max_by(|a, b| {
-                let ((a, sooner), (b, later)) = (&ready[*a], &ready[*b]);
-                below(a).total_cmp(&below(b)).then(later.cmp(sooner))
+                let (a, b) = (rank(&ready[*a]), rank(&ready[*b]));
+                a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
             });
             let Some(next) = next else { return };
-            if !self.dispatch_one(ready[next].0, host) {
+            if !self.dispatch_one(ready[next], host) {
                 ready.swap_remove(next);
             }
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -712,6 +712,7 @@
             }
             play.now - start
         };
+        play.sender.list_failed(play.now);
         let once = asked(&mut play);
         assert!(once <= ms(2600), "{once:?}");
         first.insert(once);
