--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod memory;
 pub mod pauses;
 pub mod platform;
+pub mod rhythm;
 pub mod wire;
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::clients::Clients;
@@ -17,6 +17,7 @@
 use crate::memory::ledger::Ledger;
 use crate::memory::pool::Pool;
 use crate::platform;
+use crate::rhythm::Rhythm;
 
 /// Runs a sender on this thread until it is told to end.
 pub fn serve(mandate: Mandate, read: Read) -> io::Result<()> {
@@ -35,13 +36,21 @@
     // Before the peer, by more than a call takes to get there: one that crosses its close is lost.
     let pool = Pool::new(mandate.carriage.idle_close * 7 / 8, bounds.idle);
     let endpoints = Rc::new(Endpoints::new(pool, terms.connect_time_out));
+    let asked = terms.list_asked;
     let exchange = Rc::new(Exchange::new(terms, mandate.seed, mandate.names, ledger));
     recovery::recover(&exchange, &known);
     let follows = match mandate.source {
         Source::Platform(discovery) => {
             let (moves, place) = watch::channel(discovery);
-            spawn_local(platform::follow(place.clone(), known.version, mandate.seed, exchange.clone()));
+            let (heard, first) = oneshot::channel();
+            let (version, rhythm) = (known.version, Rhythm::new(asked, mandate.seed));
+            spawn_local(platform::follow(place.clone(), version, rhythm, heard, exchange.clone()));
             spawn_local(platform::notify(place, exchange.clone()));
+            if asked.is_none() {
+                // What an agent has counts as told from the first moment on: the list of the life before may name endpoints
+                // that drained since. A silent agent is waited for no longer than one call.
+                let _ = first.await;
+            }
             Follows::Discovery(moves)
         }
         Source::Static => {
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -8,23 +8,16 @@
 use sailcart::PacketId;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::caller::{self, Reply};
 use crate::exchange::Exchange;
 use crate::memory::Notice;
-use crate::pauses::Pauses;
+use crate::rhythm::{self, Failure, Rhythm};
 use crate::wire::{MOST_BODY, discovery, http, notice};
 
-/// How long one call of a watch waits: the protocol's own example. Each call costs discovery work, whatever it has to tell.
-const HOLD: Duration = Duration::from_secs(20);
-/// One that discovery turned away comes again within this, then within twice as long, and so on. It answers so after two
-/// seconds in its queue, and may need some more for one call of each sender: who comes sooner keeps that queue full.
-const BUSY: Duration = Duration::from_secs(4);
-/// How long an answer that is due at once may take.
-const ANSWER: Duration = Duration::from_secs(1);
-/// The least pause before a call is made again. Those for the list grow from it.
+/// How long what was not taken is kept before it is told again.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Where the platform is: a reload may move it.
@@ -34,6 +27,8 @@
 struct Wire {
     place: Place,
     stream: Option<TcpStream>,
+    /// How long a connection may take to come up, whatever a call on it may wait for.
+    connect: Duration,
 }
 
 impl Wire {
@@ -72,18 +67,20 @@
         log::info!("platform {left}: connection ended, code=moved");
     }
 
-    /// One call and its answer within a time. A connection on which it did not come whole is closed.
+    /// One call and its answer within a time, its connection included. One on which it did not come whole is closed.
     async fn turn(&mut self, bytes: &[u8], within: Duration, most: usize) -> io::Result<Reply> {
         let mut reply = Reply::default();
-        let mut stream = match self.stream.take() {
-            Some(stream) => stream,
-            None => timeout(ANSWER, TcpStream::connect(self.address())).await??,
-        };
+        let (kept, address, connect) = (self.stream.take(), self.address(), self.connect);
         let turn = async {
+            let mut stream = match kept {
+                Some(stream) => stream,
+                None => timeout(connect, TcpStream::connect(address)).await??,
+            };
+            stream.set_nodelay(true)?;
             stream.write_all(bytes).await?;
-            caller::read(&mut stream, most, ANSWER, &mut reply).await
+            caller::read(&mut stream, most, within, &mut reply).await.map(|()| stream)
         };
-        timeout(within, turn).await??;
+        let stream = timeout(within, turn).await??;
         if reply.keeps() {
             self.stream = Some(stream);
         } else {
@@ -93,17 +90,29 @@
     }
 }
 
-/// Follows the destination list from a version on. One that moved may count otherwise: its whole list is read.
-pub async fn follow(place: Place, version: u64, seed: u64, exchange: Rc<Exchange>) {
-    let mut pauses = Pauses::new(seed, PAUSE, HOLD * 2);
-    let mut wire = Wire { place, stream: None };
+/// Follows the destination list from a version on. One that moved may count otherwise: its whole list is read. `heard` is told
+/// when the first call has come to its end, with a list or without.
+pub async fn follow(
+    place: Place,
+    version: u64,
+    mut rhythm: Rhythm,
+    heard: oneshot::Sender<()>,
+    exchange: Rc<Exchange>,
+) {
+    let mut wire = Wire { place, stream: None, connect: rhythm.call() };
     let mut version = Some(version);
+    let mut heard = Some(heard);
     let mut told = None; // one line for an outage, not one for each try
     loop {
-        let path = version.map_or(discovery::WHOLE.to_owned(), |version| discovery::watch(version, HOLD));
+        let (hold, within) = rhythm.watch();
+        let (path, within) = match version {
+            Some(version) => (discovery::watch(version, hold), within),
+            None => (discovery::WHOLE.to_owned(), rhythm.call()),
+        };
         let call = http::get(&wire.address().to_string(), &path);
-        let reply = wire.call(&call, HOLD + ANSWER, discovery::MOST_LIST).await.and_then(understand);
-        match reply.and_then(|list| no_older(list, version)) {
+        let reply = wire.call(&call, within, discovery::MOST_LIST).await.and_then(understand);
+        let came = reply.and_then(|list| no_older(list, version));
+        let fault = match came {
             Ok(list) => {
                 if list.whole || !list.entries.is_empty() {
                     log::info!("discovery: version {}, {} entries", list.version, list.entries.len());
@@ -111,21 +120,26 @@
                 // Also when nothing changed: what left the list long ago is forgotten on such news.
                 exchange.list(&list);
                 (version, told) = (Some(list.version), None);
-                pauses.over();
-            }
-            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => version = None,
-            Err(fault) => {
-                if told.replace(fault.kind()) != Some(fault.kind()) {
-                    log::warn!("discovery: code=no_list {fault}");
-                }
-                // An answer without a list comes from a discovery that has too much to do.
-                let turned_away = fault.kind() == io::ErrorKind::Other;
-                let pause = pauses.next(if turned_away { BUSY } else { PAUSE });
-                // A list that cannot be, or discovery elsewhere, counts for nothing: the whole is asked for.
-                if wire.moves_within(pause).await || fault.kind() == io::ErrorKind::InvalidData {
-                    version = None;
-                }
+                rhythm.over();
+                None
             }
+            Err(fault) => Some(fault),
+        };
+        heard.take().map(|heard| heard.send(()));
+        let Some(fault) = fault else { continue };
+        if fault.kind() == io::ErrorKind::Interrupted {
+            version = None;
+            continue;
+        }
+        if told.replace(fault.kind()) != Some(fault.kind()) {
+            log::warn!("discovery: code=no_list {fault}");
+        }
+        // An answer without a list comes from a discovery that has too much to do.
+        let turned_away = fault.kind() == io::ErrorKind::Other;
+        let pause = rhythm.pause(if turned_away { Failure::TurnedAway } else { Failure::Lost });
+        // A list that cannot be, or discovery elsewhere, counts for nothing: the whole is asked for.
+        if wire.moves_within(pause).await || fault.kind() == io::ErrorKind::InvalidData {
+            version = None;
         }
     }
 }
@@ -152,8 +166,9 @@
 
 /// Tells what notices are owed, again and again until the platform has them.
 pub async fn notify(place: Place, exchange: Rc<Exchange>) {
-    let mut wire = Wire { place, stream: None };
+    let mut wire = Wire { place, stream: None, connect: Duration::MAX };
     let mut told = None; // as above
+    let mut lost = 0; // calls in a row without an answer
     loop {
         let (ids, body) = exchange.owed(lines);
         if ids.is_empty() {
@@ -161,7 +176,8 @@
             continue;
         }
         let call = http::post(&wire.address().to_string(), notice::PATH, "", body.as_bytes());
-        let reply = wire.call(&call, ANSWER, MOST_BODY).await;
+        let reply = wire.call(&call, rhythm::notice(lost), MOST_BODY).await;
+        lost = if reply.is_ok() { 0 } else { lost + 1 };
         match reply.map(|reply| reply.head.map_or(0, |head| head.status)) {
             Ok(204) => {
                 told = None;
--- a/crates/sailcart-sender/tests/peer/mod.rs
+++ b/crates/sailcart-sender/tests/peer/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for what a sender meets, after its published protocol: endpoints, discovery and the platform.
 //! Threads and blocking sockets; the tests use them too.
 
+pub mod world;
+
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -82,6 +84,14 @@
     pub turned_away: AtomicUsize,
     /// What the next call for the list is answered, in place of the list.
     pub slip: Mutex<Option<String>>,
+    /// Calls for the list that came.
+    pub asked: AtomicUsize,
+    /// Calls for the list are read and never answered while this is set; those that came then stay so.
+    pub silent: AtomicBool,
+    /// Watches that came before the n-th call stay silent for good.
+    pub deaf_before: AtomicUsize,
+    /// Each answer with a list takes this long.
+    pub slow: Mutex<Duration>,
 }
 
 impl Platform {
@@ -107,6 +117,11 @@
             self.notices.lock().expect("no panic").extend(lines.lines().map(str::to_owned));
             return Some("HTTP/1.1 204 No Content\r\n\r\n".to_owned());
         }
+        let number = self.asked.fetch_add(1, Ordering::SeqCst);
+        if self.silent.load(Ordering::SeqCst) {
+            hold_forever();
+        }
+        thread::sleep(*self.slow.lock().expect("no panic"));
         if self.busy.load(Ordering::Relaxed) {
             self.turned_away.fetch_add(1, Ordering::Relaxed);
             return answer("503 Service Unavailable", "", "");
@@ -122,13 +137,25 @@
         let list = self.list.lock().expect("no panic");
         let from = query("from=");
         let waited = self.changed.wait_timeout_while(list, hold, |list| Some(list.0) == from);
-        let (version, entries) = &*waited.expect("no panic").0;
+        let waited = waited.expect("no panic").0;
+        if number < self.deaf_before.load(Ordering::SeqCst) || self.silent.load(Ordering::SeqCst) {
+            drop(waited);
+            hold_forever();
+        }
+        let (version, entries) = &*waited;
         let (whole, entries) = if Some(*version) == from { (false, "") } else { (true, entries.as_str()) };
         let list = format!(r#"{{"generation":{version},"reset":{whole},"instances":[{entries}]}}"#);
         answer("200 OK", "", &list)
     }
 }
 
+/// The connection stays open, and nothing comes on it any more.
+fn hold_forever() -> ! {
+    loop {
+        thread::park();
+    }
+}
+
 /// A line of the list.
 pub fn entry(name: &str, address: SocketAddr, destination: u64, state: &str) -> String {
     format!(
