A packet delivered at the very end of its time is told of as well: it was lost

Ruled out: notices not told (all were), clients without +OK.

Change (exchange.rs, came_back): delivered at or after its end, a packet's end is told too; a notice of what is over does no harm. A story on loopback fails without.

--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -185,7 +185,7 @@
             }
             Err(unknown) => {
                 log::warn!("packet {} scrapped, code=unknown_{unknown}", packet.id);
-                desk.ledger.owe(packet.number, Notice::Scrapped);
+                desk.owe(packet.number, Notice::Scrapped);
             }
         }
         self.bell.notify_one();
@@ -254,7 +254,10 @@
             desk.out.remove(&id);
             log::debug!("packet {} from {}: {outcome:?} after {elapsed:?}", packet.id, call.address);
             sender.outcome(now, id, elapsed, *outcome, *over);
-            if *over || *outcome == Outcome::Done {
+            if *outcome == Outcome::Done && packet.ends <= desk.clock.unix(now) {
+                // Whether it came in time nobody can tell here: the platform hears of an end, which does no harm to one that is over.
+                desk.owe(id, Notice::Scrapped);
+            } else if *over || *outcome == Outcome::Done {
                 desk.ledger.over(id, None);
             } else if let Err(fault) = desk.ledger.came_back(id, may_have_run(*outcome)) {
                 // What stands in the journal is the worse case: the dispatch may have run. The ledger has told of it.
@@ -370,7 +373,13 @@
             Answer::Dismissed(desk.retry_after)
         })?;
         let number = taken.id;
-        log::debug!("packet {}: taken as {}, about {:?}", put.id, number.0, put.about);
+        log::debug!(
+            "packet {}: taken as {}, about {:?}, for {:?}",
+            put.id,
+            number.0,
+            put.about,
+            put.patience
+        );
         sender.take(now, taken);
         Ok(number)
     }
@@ -473,6 +482,12 @@
             let endpoint = same.unwrap_or(EndpointId(self.next_endpoint));
             self.next_endpoint += u32::from(same.is_none());
             let line = Listing { endpoint, live: true, ..place.line(endpoint, entry.rate) };
+            log::debug!(
+                "list: {} of destination {}, {} a second",
+                entry.address,
+                entry.destination,
+                entry.rate
+            );
             self.endpoints.insert(entry.name.clone(), endpoint);
             self.places.insert(endpoint, place);
             lines.push(line);
@@ -529,11 +544,15 @@
             tell(waiting, answer(notice));
             self.ledger.over(id, Some(notice));
         } else {
-            if let Some(key) = self.ledger.packet(id).cloned().and_then(|packet| self.order(&packet)) {
-                self.untold.owe(id, key);
-            }
-            self.ledger.owe(id, notice);
+            self.owe(id, notice);
+        }
+    }
+
+    fn owe(&mut self, id: PacketId, notice: Notice) {
+        if let Some(key) = self.ledger.packet(id).cloned().and_then(|packet| self.order(&packet)) {
+            self.untold.owe(id, key);
         }
+        self.ledger.owe(id, notice);
     }
 }
 
--- a/crates/sailcart-sender/tests/crossings.rs
+++ b/crates/sailcart-sender/tests/crossings.rs
@@ -299,3 +299,19 @@
     world.until("the others, in order", |world| world.came() == ["a1", "other", "a2", "a3"]);
     assert_eq!(world.notices(), [r#"{"message":"a1","outcome":"given_up"}"#]);
 }
+
+/// A variant of ours, short days: the first line of an answer came in the last moments of its packet's time, the rest never. The
+/// sender took it for delivered, the platform for lost. An end is told in that case too: it does no harm to what is over.
+#[test]
+fn an_answer_at_the_very_end_of_a_packets_time_is_followed_by_a_notice() {
+    let world = World::new("end", |_, call| {
+        let budget = call.header("X-Budget").trim_end_matches('m').parse().expect("a budget");
+        thread::sleep(Duration::from_millis(budget) - Duration::from_millis(100));
+        Some("HTTP/1.1 200 OK\r\n".to_owned())
+    });
+    let put = command("a1", "c=notice,t=acme,d=1200,k=a1,dest=7", "hello");
+    assert_eq!(say(world.listen, &put).expect("an answer"), "+OK");
+    world.until("its outcome", |world| world.log().contains("Done after"));
+    world.until("a notice", |world| world.notices() == [r#"{"message":"a1","outcome":"given_up"}"#]);
+    assert_eq!(world.came(), ["a1"], "and it is not sent on");
+}
