--- a/src/control.rs
+++ b/src/control.rs
@@ -679,8 +679,8 @@
         before.max(opens.filter(|_| self.figures.thin).unwrap_or_default())
     }
 
-    /// A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after. What an earlier
-    /// life took on and did not try is tried, unless what blocks its lanes outlasts it.
+    /// A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after. What an
+    /// earlier life took on and did not try is tried, unless what blocks its lanes outlasts it.
     fn outlasts(&self, wait: Duration, kept: &Kept) -> bool {
         let lanes = self.destinations.get(&kept.packet.destination).into_iter().flat_map(|d| &d.lanes);
         let Some(blocked) = lanes.map(|lane| self.lanes[lane].blocked).min() else { return false };
