--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -27,7 +27,7 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// How long a new connection is waited for at a stop: a client that has just come is about to say something.
 const FIRST_WORD: Duration = Duration::from_millis(200);
-/// Connections that linger at once. Others are let in meanwhile: these descriptors are not counted among the clients'.
+/// So many that linger are not counted among the clients': others are let in meanwhile, on descriptors kept for that.
 const MOST_LEAVING: usize = 8;
 
 /// Commands of one connection that wait for their answers at most; the rest waits to be read.
@@ -48,8 +48,6 @@
     /// When the command that is coming in began to come.
     begun: Cell<Option<Instant>>,
     since: Instant,
-    /// It is being ended, and reads what still comes.
-    leaving: Cell<bool>,
     hang_up: Notify,
 }
 
@@ -58,6 +56,8 @@
     most: usize,
     lines: RefCell<BTreeMap<u64, Rc<Line>>>,
     next: Cell<u64>,
+    /// Those of the lines that are being ended, and read what still comes.
+    leaving: Cell<usize>,
     left: Notify,
     stopping: Cell<bool>,
     /// Told once no more connections are accepted.
@@ -66,9 +66,9 @@
 
 impl Clients {
     pub fn new(exchange: Rc<Exchange>, most: usize) -> Rc<Self> {
-        let (lines, next) = (RefCell::default(), Cell::new(0));
+        let (lines, next, leaving) = (RefCell::default(), Cell::new(0), Cell::new(0));
         let (left, stopping, closing) = (Notify::new(), Cell::new(false), Notify::new());
-        Rc::new(Clients { exchange, most, lines, next, left, stopping, closing })
+        Rc::new(Clients { exchange, most, lines, next, leaving, left, stopping, closing })
     }
 
     /// Accepts clients until that is called off, and hands the listener back: who waits in its queue is still owed a word.
@@ -101,7 +101,7 @@
     /// No more are accepted but those that wait in the queue by now: closing it would reset them unseen. True once there were none.
     pub fn empty_queue(self: &Rc<Self>, listener: &std::net::TcpListener) -> io::Result<bool> {
         let mut came = 0;
-        while self.lines.borrow().len() < self.most + MOST_LEAVING {
+        while self.open() < self.most + MOST_LEAVING {
             let (stream, peer) = match listener.accept() {
                 Ok(accepted) => accepted,
                 Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return Ok(came == 0),
@@ -126,13 +126,11 @@
     /// which nothing came yet go last, and for no other reason: some clients connect seconds before their first
     /// packet, and a close would fail it. Where none is idle, new ones wait to be accepted.
     async fn make_room(&self) {
-        loop {
+        while self.open() >= self.most + self.leaving.get().min(MOST_LEAVING) {
             let lines = self.lines.borrow().values().cloned().collect::<Vec<_>>();
-            let leaving = lines.iter().filter(|line| line.leaving.get()).count();
-            if lines.len() - leaving < self.most && leaving < MOST_LEAVING {
-                return;
-            }
-            let idle = lines.iter().filter(|line| line.idle_since.get().is_some() && leaving < MOST_LEAVING);
+            // Where many linger, their places are waited for: each further one that is ended would only join them.
+            let more = self.leaving.get() < MOST_LEAVING;
+            let idle = lines.iter().filter(|line| more && line.idle_since.get().is_some());
             if let Some(line) = idle.min_by_key(|line| (!line.spoke.get(), line.idle_since.get())) {
                 line.hang_up.notify_one();
             }
@@ -149,8 +147,8 @@
     fn enter(&self) -> (u64, Rc<Line>) {
         let (spoke, idle_since) = (Cell::new(false), Cell::new(Some(Instant::now())));
         let (begun, hang_up) = (Cell::new(None), Notify::new());
-        let (turned_away, leaving, since) = (Cell::new(0), Cell::new(false), Instant::now());
-        let line = Rc::new(Line { spoke, idle_since, turned_away, begun, since, leaving, hang_up });
+        let (turned_away, since) = (Cell::new(0), Instant::now());
+        let line = Rc::new(Line { spoke, idle_since, turned_away, begun, since, hang_up });
         let number = self.next.replace(self.next.get() + 1);
         self.lines.borrow_mut().insert(number, line.clone());
         (number, line)
@@ -161,9 +159,10 @@
         let mut answered = 0u64;
         let Err(code) = self.talk(&mut stream, &line, &mut answered).await;
         line.idle_since.set(None);
-        line.leaving.set(true);
+        self.leaving.set(self.leaving.get() + 1);
         self.left.notify_one();
         end(stream, code).await;
+        self.leaving.set(self.leaving.get() - 1);
         self.lines.borrow_mut().remove(&number);
         self.left.notify_one();
         let turned_away = line.turned_away.get();
--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -529,7 +529,7 @@
 
     fn waits_for_notice(&self, call: &Call) -> bool {
         let mut turns = call.packets.iter().filter_map(|packet| Some((packet.number, self.order(packet)?)));
-        turns.any(|(id, key)| self.untold.before(id, key))
+        !self.untold.is_empty() && turns.any(|(id, key)| self.untold.before(id, key))
     }
 
     /// A packet's end without being delivered: told to its client if that still waits for its first answer,
--- a/crates/sailcart-sender/src/memory/untold.rs
+++ b/crates/sailcart-sender/src/memory/untold.rs
@@ -27,6 +27,10 @@
         }
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.unknown.is_empty() && self.keys.is_empty()
+    }
+
     /// Whether one is owed for what was taken before a packet and may have its key.
     pub fn before(&self, id: PacketId, key: KeyId) -> bool {
         self.unknown.range(..id).next().is_some() || self.keys.range(..id).any(|(_, other)| *other == key)
--- a/crates/sailcart-sender/src/rhythm.rs
+++ b/crates/sailcart-sender/src/rhythm.rs
@@ -78,16 +78,6 @@
         self.at_once = false;
         self.pauses.over();
     }
-
-    /// The longest way from the moment at which a change can be had to a list in hand, where one call more is lost on it: from a
-    /// watch that fell silent, and from an answer without a list. The latter counts from the end of having too much to do.
-    pub fn longest(&self) -> (Duration, Duration) {
-        let again = self.most.0 + self.call;
-        // A watch that waits for longer than this has a term of its own: it counts from the end of its wait.
-        let silent = if self.hold < TOLD { self.hold + self.overdue + again } else { self.call };
-        let turned_away = if self.most.1 + self.call + again < TOLD { again } else { Duration::ZERO };
-        (silent + again, self.most.1 + self.call + turned_away)
-    }
 }
 
 /// How long the answer to a notice may take, after so many calls in a row that had none.
--- a/crates/sailcart-sender/tests/crossings.rs
+++ b/crates/sailcart-sender/tests/crossings.rs
@@ -51,17 +51,10 @@
 }
 
 fn told_to_end(world: &World) {
-    let pid = world.sender.as_ref().expect("a sender").id().to_string();
-    assert!(std::process::Command::new("kill").arg(pid).status().expect("a signal").success());
+    world.signal("-TERM");
     world.until("the stop", |world| world.log().contains("code=sigterm"));
 }
 
-/// Waits until the process has ended by itself, within the time that the kill leaves.
-fn ended(world: &mut World) {
-    let mut sender = world.sender.take().expect("a sender");
-    assert!(sender.wait().expect("an end").success());
-}
-
 /// The other side has ended, and a request comes all the same, byte for byte: no reset meets it, and it goes nowhere.
 fn crosses_an_end(world: &World, mut stream: TcpStream, id: &str) {
     assert_eq!(stream.read(&mut [0; 64]).expect("an end"), 0, "nothing but the end");
@@ -95,7 +88,7 @@
     let rests = resting(&world);
     told_to_end(&world);
     crosses_an_end(&world, rests, "a1");
-    ended(&mut world);
+    world.ended();
 }
 
 /// The listener was dropped with whoever waited in its queue, after a fixed 400 ms.
@@ -116,7 +109,7 @@
     let mut words = String::new();
     queued.read_to_string(&mut words).expect("no reset");
     assert_eq!((words.as_str(), busy.len()), ("-BUSY 2000\r\n", PLACES));
-    ended(&mut world);
+    world.ended();
     assert!(world.log().contains("0 packets still out, 0 connections still open, 0 notices still owed"));
 }
 
@@ -146,7 +139,7 @@
         assert!(read > 0, "cut off after {came} bytes");
         came += read;
     }
-    ended(&mut world);
+    world.ended();
 }
 
 /// A notice that was owed was left to the next life although there was time to tell it.
@@ -161,7 +154,7 @@
     let late = Instant::now() + Duration::from_millis(700);
     world.until("the time after late comers", |_| Instant::now() > late);
     world.platform.deaf.store(false, Ordering::SeqCst);
-    ended(&mut world);
+    world.ended();
     assert_eq!(world.notices(), [r#"{"message":"a1","outcome":"given_up"}"#]);
 }
 
@@ -177,7 +170,7 @@
     told_to_end(&world);
     world.reload(&world.config);
     told_to_end(&world);
-    ended(&mut world);
+    world.ended();
     assert!(world.log().contains("packet a1 from") && world.log().contains("Done after"));
     assert!(world.log().contains("0 packets still out"));
 }
@@ -243,9 +236,11 @@
     let mut world = delivers("port");
     world.kill();
     let other = TcpListener::bind(world.listen).expect("the port");
+    let log = world.folder.join("log");
     let held = thread::spawn(move || {
-        // Freed once the sender has come this far.
-        thread::sleep(Duration::from_millis(600));
+        while !std::fs::read_to_string(&log).is_ok_and(|log| log.contains("code=in_use")) {
+            thread::yield_now();
+        }
         drop(other);
     });
     world.start();
@@ -254,6 +249,23 @@
     assert_eq!(world.put("a1"), "+OK");
 }
 
+/// Faulty clients that never end their side linger, and there is room for many more: the next is let in at once. Eight that lingered
+/// held up all others.
+#[test]
+fn those_that_linger_hold_up_nobody_while_there_is_room() {
+    let world = delivers("linger");
+    let start = Instant::now();
+    let faulty = |_| {
+        let mut stream = connect(&world);
+        stream.write_all(b"nonsense\r\n").expect("room");
+        let _ = stream.read_to_end(&mut Vec::new()).expect("a word, and the end of its side");
+        stream
+    };
+    let faulty: Vec<TcpStream> = (0..60).map(faulty).collect();
+    drop(resting(&world));
+    assert!(start.elapsed() < Duration::from_millis(800), "{:?} behind {}", start.elapsed(), faulty.len());
+}
+
 /// Idle clients hold all places while discovery is silent: packets are still taken and sent, and as soon as discovery is there
 /// again its list is heard.
 #[test]
--- a/crates/sailcart-sender/tests/peer/world.rs
+++ b/crates/sailcart-sender/tests/peer/world.rs
@@ -100,8 +100,12 @@
     /// SIGHUP, with another configuration in the file.
     pub fn reload(&self, config: &str) {
         fs::write(self.folder.join("config.json"), config).expect("a configuration");
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, signal: &str) {
         let pid = self.sender.as_ref().expect("a sender").id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &pid]).status().expect("a signal").success());
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("a signal").success());
     }
 
     pub fn kill(&mut self) {
@@ -109,12 +113,16 @@
         sender.kill().and_then(|()| sender.wait()).expect("the sender ends");
     }
 
+    /// Until the process has ended by itself.
+    pub fn ended(&mut self) {
+        assert!(self.sender.take().expect("a sender").wait().expect("an end").success());
+    }
+
     /// SIGTERM, until the process has ended by itself; tells how long it took.
     pub fn terminate(&mut self) -> Duration {
-        let mut sender = self.sender.take().expect("a sender");
         let start = Instant::now();
-        let sent = Command::new("kill").arg(sender.id().to_string()).status().expect("a signal");
-        assert!(sent.success() && sender.wait().expect("an end").success());
+        self.signal("-TERM");
+        self.ended();
         start.elapsed()
     }
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -105,7 +105,7 @@
 
     /// Hands in packets; the ids are given in order.
     pub fn take(&mut self, count: u64, destination: u64, category: usize, key: Option<u64>) -> Vec<u64> {
-        (0..count).map(|_| self.hand_in(destination, category, key, 0, None, false)).collect()
+        (0..count).map(|_| self.enter(self.packet(destination, category, key))).collect()
     }
 
     /// A packet comes back after a restart, with its dispatches and when the first that may have run was sent.
@@ -117,30 +117,25 @@
         dispatches: u32,
         doubt: Option<Duration>,
     ) -> u64 {
-        self.hand_in(destination, category, key, dispatches, doubt, true)
+        self.enter(Packet { dispatches, doubt, taken_on: true, ..self.packet(destination, category, key) })
     }
 
-    fn hand_in(
-        &mut self,
-        destination: u64,
-        category: usize,
-        key: Option<u64>,
-        dispatches: u32,
-        doubt: Option<Duration>,
-        taken_on: bool,
-    ) -> u64 {
-        self.next += 1;
-        let packet = Packet {
-            id: PacketId(self.next),
+    fn packet(&self, destination: u64, category: usize, key: Option<u64>) -> Packet {
+        Packet {
+            id: PacketId(self.next + 1),
             destination: DestinationId(destination),
             category: CategoryId(category),
             customer: None,
             key: key.map(KeyId),
             ends: self.now + ms(20_000),
-            dispatches,
-            doubt,
-            taken_on,
-        };
+            dispatches: 0,
+            doubt: None,
+            taken_on: false,
+        }
+    }
+
+    fn enter(&mut self, packet: Packet) -> u64 {
+        self.next += 1;
         self.sender.take(self.now, packet);
         self.next
     }
