Module: a change costs what changed, a listed destination one entry until its first packet

Need: two years from now 440,000 destinations are listed and some 28 of them change each second. Each news of the list, also an empty one, walked all endpoints, destinations and lanes, and each listed destination had a lane, a bucket and two sets of its own (1.5 KB and 0.4 us each by the operators' measurement).

Change: src/listing.rs keeps the list, 24 bytes and a key a destination. A destination is set up with its first packet by the same lines in the same order, and only those of which something went are looked at again. Beyond 4,096 destinations with traffic the one longest idle goes back to its entry, unless a told wait, a rest, an outage or the time of warming stands.

The story of a full table of connections first calls the second endpoint and adds a third that is never called: no connection can be idle where none was made, so nothing is closed there any more.

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,7 +15,12 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
+use crate::bucket::TokenBucket;
+use crate::decay::DecayingCounter;
 use crate::host::*;
+use crate::listing::Directory;
+use crate::state::*;
+use crate::table::Table;
 
 const FLOOR: f64 = 0.5; // a lane's rate never falls below one call in two seconds, but see CROWD
 const CUT: f64 = 0.5; // a full refusal leaves this share of the rate
@@ -30,50 +35,12 @@
 const AGAIN: f64 = 0.1; // refused packets that may go again for each answer, where traffic is thin
 const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
 const SPARE: usize = 16; // one part in so many of the hold is kept free
+const AWAKE: usize = 4096; // destinations of which all is kept that was learned; beyond, see `let_sleep`
 
 fn span_of(amount: f64, rate: f64) -> Duration {
     Duration::try_from_secs_f64((amount / rate).max(0.0)).unwrap_or(Duration::MAX)
 }
 
-/// A sum that forgets over the span given on read.
-#[derive(Default)]
-struct Tally {
-    sum: f64,
-    at: Duration,
-}
-
-impl Tally {
-    fn read(&self, now: Duration, span: Duration) -> f64 {
-        self.sum * (-now.saturating_sub(self.at).as_secs_f64() / span.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, now: Duration, span: Duration) {
-        (self.sum, self.at) = (self.read(now, span) + 1.0, now);
-    }
-}
-
-/// The design's token bucket: tokens = min(B, tokens + r x elapsed), on read, starting full.
-#[derive(Default)]
-struct Bucket {
-    tokens: Option<f64>,
-    at: Duration,
-}
-
-impl Bucket {
-    fn read(&self, now: Duration, rate: f64, burst: f64) -> f64 {
-        let since = now.saturating_sub(self.at).as_secs_f64() - self.at.saturating_sub(now).as_secs_f64();
-        self.tokens.map_or(burst.max(1.0), |tokens| (tokens + since * rate).min(burst.max(1.0)))
-    }
-
-    fn take(&mut self, now: Duration, rate: f64, burst: f64) -> bool {
-        let tokens = self.read(now, rate, burst);
-        if tokens >= 1.0 {
-            (self.tokens, self.at) = (Some(tokens - 1.0), now);
-        }
-        tokens >= 1.0
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Health {
     #[default]
@@ -95,15 +62,15 @@
     listed: Option<f64>,
     rate: Option<f64>, // `None` until the first full refusal, where no rate is listed
     top: f64,          // what the rate climbs back to: listed, or last known
-    bucket: Bucket,
+    bucket: TokenBucket,
     blocked: Duration, // a told wait stands until then
     cut_at: Option<Duration>,
     health: Health,
-    done: Tally,
-    asked: Tally,         // packets taken for it
-    told: Option<Report>, // the last word of its limit
-    row: f64,             // losses since the last answer, and when they began
-    crowded: u32,         // calls since the last answer that found its connections taken
+    done: DecayingCounter,
+    asked: DecayingCounter, // packets taken for it
+    told: Option<Report>,   // the last word of its limit
+    row: f64,               // losses since the last answer, and when they began
+    crowded: u32,           // calls since the last answer that found its connections taken
     row_since: Duration,
     answered: Option<Duration>,
     pace: Option<Duration>, // mean time to an answer
@@ -234,7 +201,7 @@
         self.blocked = self.blocked.max(end);
         if long {
             self.health = Health::Back(self.blocked);
-            self.bucket = Bucket { tokens: Some(chance), at: self.blocked };
+            self.bucket = TokenBucket { tokens: Some(chance), at: self.blocked };
         }
     }
 
@@ -279,7 +246,8 @@
             };
             (self.rate, self.cut_at) = (Some(cut), Some(now));
             if self.blocked <= now || self.health == Health::Well {
-                self.bucket = Bucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
+                self.bucket =
+                    TokenBucket { tokens: Some((chance - 0.5) * (1.0 - figures.crowding)), at: now };
             }
         }
         self.note_loss(now, if self.may_be_shut(figures) { LOSSES / 2.0 } else { 0.5 }, false, figures);
@@ -291,43 +259,6 @@
     }
 }
 
-struct Endpoint {
-    lane: LaneId,
-    live: bool,
-    kind: KindId,
-    cap: usize, // calls that it may have in flight
-}
-
-#[derive(Default)]
-struct Destination {
-    endpoints: BTreeSet<EndpointId>,
-    lanes: BTreeSet<LaneId>,
-    batch: usize,
-    used: Duration,
-}
-
-type LaneId = (DestinationId, Option<EndpointId>);
-
-struct Call {
-    endpoint: EndpointId,
-    lane: LaneId,
-    sent: Duration,
-    packets: Vec<PacketId>, // those without an outcome
-    judged: bool,
-    given_up: bool,
-}
-
-/// Where a packet stands. `Held` and `Out` say when the first dispatch that may have run was sent, if any.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    Held(Option<Duration>),
-    Out(u64, Option<Duration>),
-    Withdrawn(u64), // its client took it back while a dispatch is out; nothing more is owed
-    Done,
-    Dismissed,
-    Scrapped,
-}
-
 struct Kept {
     packet: Packet,
     trade: Category,
@@ -343,13 +274,6 @@
     }
 }
 
-/// The packets of one key in the order taken; none goes before `rests_until`.
-#[derive(Default)]
-struct Turn {
-    queue: VecDeque<PacketId>,
-    rests_until: Duration,
-}
-
 #[derive(Default)]
 struct Figures {
     terms: Terms,
@@ -388,16 +312,19 @@
     rng: Option<ChaCha8Rng>,
     now: Duration,
     packets: BTreeMap<PacketId, Kept>,
-    destinations: BTreeMap<DestinationId, Destination>,
+    listing: Directory,                                // all that is listed
+    destinations: Table<DestinationId, Destination>,   // those that had traffic, and what was learned of them
+    awake: VecDeque<DestinationId>,                    // the same, looked at in turn by `let_sleep`
+    changed: BTreeSet<DestinationId>,                  // of these, what is gone may be forgotten
     held: BTreeMap<DestinationId, BTreeSet<PacketId>>, // only destinations that have some
-    lanes: BTreeMap<LaneId, Lane>,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    lanes: Table<LaneId, Lane>,
+    endpoints: Table<EndpointId, Endpoint>,
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     turns: BTreeMap<KeyId, Turn>,
-    customers: Vec<Bucket>,
+    customers: Vec<TokenBucket>,
     due: BTreeSet<(Duration, PacketId)>, // when held packets are looked at again or end
-    wear: Vec<[Tally; 4]>,               // answers, losses, refusals and full tables by kind
+    wear: Vec<[DecayingCounter; 4]>,     // answers, losses, refusals and full tables by kind
     idle: BTreeSet<EndpointId>,          // where a call came back this round
     again: f64,                          // refused packets that may go again where traffic is thin
     spent: Vec<(PacketId, Option<Duration>)>, // packets to be answered this round, and what wait is told
@@ -408,7 +335,7 @@
 
 impl Sender {
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let customers = terms.customers.iter().map(|_| Bucket::default()).collect();
+        let customers = terms.customers.iter().map(|_| TokenBucket::default()).collect();
         let rng = Some(ChaCha8Rng::seed_from_u64(seed));
         let wear = terms.kinds.iter().map(|_| Default::default()).collect();
         let again = terms.slots as f64;
@@ -424,51 +351,124 @@
         self.asks_lost += 1;
     }
 
+    /// Destinations of which more is kept than their entry in the list.
+    pub fn awake(&self) -> usize {
+        self.destinations.len()
+    }
+
+    /// Table entries looked at so far: work in step with what changed, or with all that is listed.
+    pub fn visited(&self) -> u64 {
+        let tables = [self.destinations.visited(), self.lanes.visited(), self.endpoints.visited()];
+        self.listing.visited() + tables.iter().sum::<u64>()
+    }
+
     pub fn holds(&self, id: PacketId) -> bool {
         self.packets.contains_key(&id)
     }
 
-    /// News of the destination list; a whole list replaces the old one. What is gone and idle is forgotten, a
-    /// destination only after the time of warming, as a wait may last.
+    /// News of the destination list; a whole list replaces the old one. Each line is noted, and set up at once for
+    /// a destination that had traffic, for another with its first packet.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
         self.now = now.max(self.now);
         self.asks_lost = if self.ask_at.is_none() { 0 } else { self.asks_lost };
         if whole {
+            self.listing.clear();
             self.endpoints.values_mut().for_each(|e| e.live = false);
+            self.changed.extend(self.destinations.keys());
         }
         for line in lines {
-            let kind = &self.figures.terms.kinds[line.kind.0];
-            let lane = (line.destination, kind.own_limits.then_some(line.endpoint));
-            let destination = self.destinations.entry(line.destination).or_default();
-            destination.batch = kind.batch;
-            destination.lanes.insert(lane);
-            let bucket = self.lanes.entry(lane).or_default();
-            if self.figures.terms.rates_listed && line.rate > 0.0 && bucket.listed != Some(line.rate) {
-                // All senders fill from the listed rate, so each starts with a part, and climbs to the whole.
-                let part = 2.0 * line.rate / (1.0 + self.figures.senders);
-                (bucket.listed, bucket.top) = (Some(line.rate), part);
-                // Where answers tell of limits, the first ones put right what starts too high.
-                let shared = self.figures.thin && !self.figures.terms.limits_told;
-                let least = if shared { FLOOR * self.figures.crowding } else { FLOOR };
-                bucket.rate = Some(part.max(least).min(line.rate));
+            self.listing.note(line);
+            if self.destinations.contains_key(&line.destination) {
+                self.changed.insert(line.destination);
+                self.set_up(line);
             }
-            if destination.endpoints.is_empty() && bucket.health == Health::Quiet {
-                bucket.health = Health::Well; // all machines are new
+        }
+        self.forget_gone();
+    }
+
+    fn set_up(&mut self, line: &Listing) {
+        let kind = &self.figures.terms.kinds[line.kind.0];
+        let lane = (line.destination, kind.own_limits.then_some(line.endpoint));
+        let destination = self.destinations.entry(line.destination).or_default();
+        destination.batch = kind.batch;
+        destination.lanes.insert(lane);
+        let bucket = self.lanes.entry(lane).or_default();
+        if self.figures.terms.rates_listed && line.rate > 0.0 && bucket.listed != Some(line.rate) {
+            // All senders fill from the listed rate, so each starts with a part, and climbs to the whole.
+            let part = 2.0 * line.rate / (1.0 + self.figures.senders);
+            (bucket.listed, bucket.top) = (Some(line.rate), part);
+            // Where answers tell of limits, the first ones put right what starts too high.
+            let shared = self.figures.thin && !self.figures.terms.limits_told;
+            let least = if shared { FLOOR * self.figures.crowding } else { FLOOR };
+            bucket.rate = Some(part.max(least).min(line.rate));
+        }
+        if destination.endpoints.is_empty() && bucket.health == Health::Quiet {
+            bucket.health = Health::Well; // all machines are new
+        }
+        destination.endpoints.insert(line.endpoint);
+        let new = Endpoint { lane, live: line.live, kind: line.kind, cap: self.figures.terms.slots };
+        self.endpoints.entry(line.endpoint).or_insert(new).live = line.live;
+    }
+
+    /// What is gone and idle is forgotten, a destination only after the time of warming, as a wait may last.
+    fn forget_gone(&mut self) {
+        let changed = std::mem::take(&mut self.changed);
+        for id in &changed {
+            let Some(Destination { endpoints, lanes, .. }) = self.destinations.get_mut(id) else { continue };
+            let out = |id: &EndpointId| self.calls.values().any(|call| call.endpoint == *id);
+            endpoints.retain(|id| self.endpoints[id].live || out(id) || self.endpoints.remove(id).is_none());
+            let stays = |lane: &LaneId| lane.1.is_none_or(|endpoint| endpoints.contains(&endpoint));
+            lanes.retain(|lane| stays(lane) || self.lanes.remove(lane).is_none());
+        }
+        let left = self.held.iter().filter(|(id, _)| !self.listing.lists(**id)).flat_map(|(_, held)| held);
+        left.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.enter_held(id));
+        for id in changed {
+            let Some(destination) = self.destinations.get(&id) else { continue };
+            let recent = destination.used.saturating_add(self.figures.back.cold) > self.now;
+            if destination.endpoints.is_empty() && !self.held.contains_key(&id) && !recent {
+                self.forget(id);
+            } else if !self.listing.lists(id) || destination.endpoints.iter().any(|e| !self.endpoints[e].live)
+            {
+                self.changed.insert(id);
             }
-            destination.endpoints.insert(line.endpoint);
-            let new = Endpoint { lane, live: line.live, kind: line.kind, cap: self.figures.terms.slots };
-            self.endpoints.entry(line.endpoint).or_insert(new).live = line.live;
         }
-        self.endpoints.retain(|id, e| e.live || self.calls.values().any(|call| call.endpoint == *id));
-        for destination in self.destinations.values_mut() {
-            destination.endpoints.retain(|e| self.endpoints.contains_key(e));
-            destination.lanes.retain(|lane| lane.1.is_none_or(|e| self.endpoints.contains_key(&e)));
+    }
+
+    fn forget(&mut self, id: DestinationId) {
+        let gone = self.destinations.remove(&id).unwrap_or_default();
+        self.lanes.remove_all(&gone.lanes);
+        self.endpoints.remove_all(&gone.endpoints);
+    }
+
+    fn lanes_of(&self, id: &DestinationId) -> impl Iterator<Item = &Lane> {
+        let lanes = self.destinations.get(id).into_iter().flat_map(|destination| &destination.lanes);
+        lanes.map(|lane| &self.lanes[lane])
+    }
+
+    /// With its first packet a destination gets all that its entry in the list stands for.
+    fn rouse(&mut self, id: DestinationId) {
+        if !self.destinations.contains_key(&id) {
+            self.destinations.insert(id, Destination::default());
+            self.awake.push_back(id);
+            self.listing.lines(id).iter().for_each(|line| self.set_up(line));
+        }
+    }
+
+    /// Guards memory: of destinations beyond `AWAKE` one that was not used for the time of warming keeps only its
+    /// entry in the list, unless a wait, a rest or an outage stands. Harm: what was learned is learned anew.
+    fn let_sleep(&mut self) {
+        for _ in 0..self.awake.len().saturating_sub(AWAKE).min(2) {
+            let Some(id) = self.awake.pop_front() else { return };
+            let Some(destination) = self.destinations.get(&id) else { continue };
+            let quiet = |lane: &Lane| lane.health == Health::Well && lane.blocked <= self.now;
+            let idle = !self.held.contains_key(&id) && self.out(&id) == 0;
+            let warm = destination.used.saturating_add(self.figures.back.cold) <= self.now;
+            if idle && warm && self.lanes_of(&id).all(quiet) {
+                self.forget(id);
+            } else {
+                self.awake.push_back(id);
+            }
         }
-        let left = self.held.iter().filter(|(id, _)| !self.listed(**id)).flat_map(|(_, held)| held);
-        left.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.enter_held(id));
-        let recent = |d: &Destination| d.used.saturating_add(self.figures.back.cold) > now;
-        self.destinations.retain(|id, d| !d.endpoints.is_empty() || self.held.contains_key(id) || recent(d));
-        self.lanes.retain(|id, _| self.destinations.get(&id.0).is_some_and(|d| d.lanes.contains(id)));
     }
 
     /// A packet is handed in, or back after a restart: it keeps its dispatches, its doubt and, while a call
@@ -490,7 +490,9 @@
         });
         let (id, to, state) = (packet.id, packet.destination, State::Held(packet.doubt));
         self.packets.insert(id, Kept { packet, trade, soft, over_share, refused: false, state });
-        for lane in self.destinations.get(&to).into_iter().flat_map(|d| &d.lanes) {
+        self.let_sleep();
+        self.rouse(to);
+        for lane in &self.destinations[&to].lanes {
             self.lanes.entry(*lane).and_modify(|lane| lane.asked.add(now, self.figures.soft * 8));
         }
         self.enter_held(id);
@@ -611,9 +613,9 @@
                 let least = lane.told.map_or(figures.soft / 2, |_| Duration::ZERO);
                 lane.rest(now, least, chance, figures);
                 if figures.thin && lane.health != health {
-                    lane.bucket = Bucket { tokens: Some(chance), at: now }; // no trials in step
+                    lane.bucket = TokenBucket { tokens: Some(chance), at: now }; // no trials in step
                 } else if figures.thin && health == Health::Well {
-                    lane.bucket = Bucket { tokens: Some(1.0), at: lane.blocked }; // the rest alone decides
+                    lane.bucket = TokenBucket { tokens: Some(1.0), at: lane.blocked }; // the rest decides
                 }
             }
         }
@@ -653,11 +655,11 @@
     fn enter_held(&mut self, id: PacketId) {
         let Some(kept) = self.packets.get(&id) else { return };
         let (to, last) = (kept.packet.destination, self.holdable_until(kept));
-        let (listed, soon) = (self.listed(to), self.now.saturating_add(kept.trade.soft_limit));
-        let destination = self.destinations.entry(to).or_default();
+        let (listed, soon) = (self.listing.lists(to), self.now.saturating_add(kept.trade.soft_limit));
         // An endpoint may appear; end_due looks again.
         let until = if listed || kept.owed_a_try() { last } else { last.min(soon) };
-        destination.used = self.now;
+        self.destinations.entry(to).or_default().used = self.now;
+        self.changed.extend((!listed).then_some(to));
         let wait = self.wait(to, self.held.get(&to).map_or(0, BTreeSet::len));
         let unsure = kept.trade.repeat == Repeat::Unrepeatable && kept.state != State::Held(None);
         let spent = unsure || kept.packet.dispatches >= self.figures.terms.dispatches;
@@ -672,9 +674,9 @@
     /// thin until a lane opens.
     fn wait(&self, to: DestinationId, before: usize) -> Duration {
         let Some(destination) = self.destinations.get(&to) else { return Duration::ZERO };
-        let lanes = || destination.lanes.iter().map(|lane| &self.lanes[lane]);
-        let rate: f64 = lanes().map(|lane| lane.rate.map_or(f64::INFINITY, |r| r.max(lane.top))).sum();
-        let opens = lanes().map(|lane| lane.opens_in(self.now, &self.figures)).min();
+        let top = |lane: &Lane| lane.rate.map_or(f64::INFINITY, |r| r.max(lane.top));
+        let rate: f64 = self.lanes_of(&to).map(top).sum();
+        let opens = self.lanes_of(&to).map(|lane| lane.opens_in(self.now, &self.figures)).min();
         let before = span_of(before as f64, rate * destination.batch.max(1) as f64);
         before.max(opens.filter(|_| self.figures.thin).unwrap_or_default())
     }
@@ -682,8 +684,8 @@
     /// A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after. What an
     /// earlier life took on and did not try is tried, unless what blocks its lanes outlasts it.
     fn outlasts(&self, wait: Duration, kept: &Kept) -> bool {
-        let lanes = self.destinations.get(&kept.packet.destination).into_iter().flat_map(|d| &d.lanes);
-        let Some(blocked) = lanes.map(|lane| self.lanes[lane].blocked).min() else { return false };
+        let lanes = self.lanes_of(&kept.packet.destination);
+        let Some(blocked) = lanes.map(|lane| lane.blocked).min() else { return false };
         let until = if kept.owed_a_try() { blocked } else { self.now.saturating_add(wait) };
         until > kept.packet.ends
     }
@@ -697,11 +699,6 @@
         self.spent.extend(over);
     }
 
-    fn listed(&self, id: DestinationId) -> bool {
-        let live = |id| self.endpoints.get(id).is_some_and(|endpoint| endpoint.live);
-        self.destinations.get(&id).is_some_and(|destination| destination.endpoints.iter().any(live))
-    }
-
     /// Until when a packet may be dispatched: by its patience, and the memory of it if it may have run.
     fn holdable_until(&self, kept: &Kept) -> Duration {
         let last = match (kept.state, kept.trade.repeat) {
@@ -743,7 +740,7 @@
             let Some(kept) = self.packets.get(&id) else { continue };
             let State::Held(_) = kept.state else { continue };
             let until = self.holdable_until(kept);
-            if until > self.now && self.listed(kept.packet.destination) {
+            if until > self.now && self.listing.lists(kept.packet.destination) {
                 self.due.insert((until, id));
             } else {
                 self.end(id, None, host);
@@ -837,25 +834,24 @@
     }
 
     fn well_waits(&self) -> bool {
-        let well = |lane| self.lanes[lane].health == Health::Well;
         let mut waiting = self.held.keys().filter(|id| self.out(id) < self.cap(id));
-        waiting.any(|id| self.destinations[id].lanes.iter().any(well))
+        waiting.any(|id| self.lanes_of(id).any(|lane| lane.health == Health::Well))
     }
 
     /// Past its bucket a packet takes any free slot; the next goes to whom is furthest below its share, among
     /// equals to whom answers sooner: where slots are short, an hour of a slow one is many calls of others.
     fn place(&mut self, host: &mut impl Host) {
-        let open = |lane: &LaneId| self.lanes[lane].opens_in(self.now, &self.figures).is_zero();
+        let open = |lane: &Lane| lane.opens_in(self.now, &self.figures).is_zero();
         let held = self.held.keys().copied().filter(|_| self.calls.len() < self.figures.terms.slots);
-        let mut ready: Vec<_> = held.filter(|id| self.destinations[id].lanes.iter().any(open)).collect();
+        let mut ready: Vec<_> = held.filter(|id| self.lanes_of(id).any(open)).collect();
         if ready.is_empty() {
             return;
         }
         let shares = self.shares();
         while self.calls.len() < self.figures.terms.slots {
             let below = |id: &DestinationId| shares[id] - self.out(id) as f64;
-            let sooner = |lane| self.lanes[lane].expected(&self.figures);
-            let rank = |id| (below(id), self.destinations[id].lanes.iter().map(sooner).min());
+            let sooner = |lane: &Lane| lane.expected(&self.figures);
+            let rank = |id| (below(id), self.lanes_of(id).map(sooner).min());
             let next = (0..ready.len()).max_by(|a, b| {
                 let (a, b) = (rank(&ready[*a]), rank(&ready[*b]));
                 a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
@@ -893,7 +889,7 @@
     fn cap(&self, id: &DestinationId) -> usize {
         let ill =
             |lane: &Lane| lane.health != Health::Well || lane.expected(&self.figures) > self.figures.soft;
-        let ill = self.destinations[id].lanes.iter().any(|lane| ill(&self.lanes[lane]));
+        let ill = self.lanes_of(id).any(ill);
         let cap = if ill { self.figures.terms.slots / 2 } else { self.figures.terms.slots * 3 / 4 };
         cap.max(1)
     }
@@ -981,8 +977,8 @@
 
     fn set_wake(&mut self, host: &mut impl Host) {
         let (now, figures) = (self.now, &self.figures);
-        let lanes = self.held.keys().flat_map(|id| &self.destinations[id].lanes);
-        let opens = lanes.map(|lane| now.saturating_add(self.lanes[lane].opens_in(now, figures)));
+        let lanes = self.held.keys().flat_map(|id| self.lanes_of(id));
+        let opens = lanes.map(|lane| now.saturating_add(lane.opens_in(now, figures)));
         let rests = self.turns.values().filter(|turn| !turn.queue.is_empty()).map(|turn| turn.rests_until);
         let silences = self.calls.values().map(|c| c.sent + self.lanes[&c.lane].quiet_after(figures));
         let due = self.due.first().map(|(at, _)| *at);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -843,7 +843,13 @@
 /// and each cut its lane's rate as if a limit had been passed, until destinations got a tenth of what they take.
 #[test]
 fn a_full_table_of_connections_is_no_limit_and_leaves_no_idle_ones() {
-    let mut play = Play::new(Terms { senders: 300, ..terms() }, 2, 0, 30.0);
+    let mut play = Play::new(Terms { senders: 300, ..terms() }, 3, 0, 30.0);
+    // An idle connection is left at endpoint 1; none can be at endpoint 2, which was never called.
+    let elsewhere = play.take(1, 1, 0, None)[0];
+    play.round();
+    play.back(elsewhere, Outcome::Done);
+    play.round();
+    assert!(play.asked.closed.is_empty());
     let packet = play.take(1, 0, 0, None)[0];
     play.round();
     play.back(packet, Outcome::NoRoom);
