Module: active, activate and evict in place of own words for the same

The names that came with the directory (awake, rouse, let_sleep) were metaphors of our own; the field says active, activate, evict.

--- a/src/control.rs
+++ b/src/control.rs
@@ -35,7 +35,7 @@
 const AGAIN: f64 = 0.1; // refused packets that may go again for each answer, where traffic is thin
 const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
 const SPARE: usize = 16; // one part in so many of the hold is kept free
-const AWAKE: usize = 4096; // destinations of which all is kept that was learned; beyond, see `let_sleep`
+const MOST_ACTIVE: usize = 4096; // destinations of which all is kept that was learned; beyond, see `evict_idle`
 
 fn span_of(amount: f64, rate: f64) -> Duration {
     Duration::try_from_secs_f64((amount / rate).max(0.0)).unwrap_or(Duration::MAX)
@@ -314,7 +314,7 @@
     packets: BTreeMap<PacketId, Kept>,
     listing: Directory,                                // all that is listed
     destinations: Table<DestinationId, Destination>,   // those that had traffic, and what was learned of them
-    awake: VecDeque<DestinationId>,                    // the same, looked at in turn by `let_sleep`
+    active: VecDeque<DestinationId>,                   // the same, looked at in turn by `evict_idle`
     changed: BTreeSet<DestinationId>,                  // of these, what is gone may be forgotten
     held: BTreeMap<DestinationId, BTreeSet<PacketId>>, // only destinations that have some
     lanes: Table<LaneId, Lane>,
@@ -352,7 +352,7 @@
     }
 
     /// Destinations of which more is kept than their entry in the list.
-    pub fn awake(&self) -> usize {
+    pub fn active(&self) -> usize {
         self.destinations.len()
     }
 
@@ -380,13 +380,13 @@
             self.listing.note(line);
             if self.destinations.contains_key(&line.destination) {
                 self.changed.insert(line.destination);
-                self.set_up(line);
+                self.apply_line(line);
             }
         }
         self.forget_gone();
     }
 
-    fn set_up(&mut self, line: &Listing) {
+    fn apply_line(&mut self, line: &Listing) {
         let kind = &self.figures.terms.kinds[line.kind.0];
         let lane = (line.destination, kind.own_limits.then_some(line.endpoint));
         let destination = self.destinations.entry(line.destination).or_default();
@@ -446,19 +446,19 @@
     }
 
     /// With its first packet a destination gets all that its entry in the list stands for.
-    fn rouse(&mut self, id: DestinationId) {
+    fn activate(&mut self, id: DestinationId) {
         if !self.destinations.contains_key(&id) {
             self.destinations.insert(id, Destination::default());
-            self.awake.push_back(id);
-            self.listing.lines(id).iter().for_each(|line| self.set_up(line));
+            self.active.push_back(id);
+            self.listing.lines(id).iter().for_each(|line| self.apply_line(line));
         }
     }
 
-    /// Guards memory: of destinations beyond `AWAKE` one that was not used for the time of warming keeps only its
-    /// entry in the list, unless a wait, a rest or an outage stands. Harm: what was learned is learned anew.
-    fn let_sleep(&mut self) {
-        for _ in 0..self.awake.len().saturating_sub(AWAKE).min(2) {
-            let Some(id) = self.awake.pop_front() else { return };
+    /// Guards memory: of destinations beyond `MOST_ACTIVE` one that was not used for the time of warming keeps only
+    /// its entry in the list, unless a wait, a rest or an outage stands. Harm: what was learned is learned anew.
+    fn evict_idle(&mut self) {
+        for _ in 0..self.active.len().saturating_sub(MOST_ACTIVE).min(2) {
+            let Some(id) = self.active.pop_front() else { return };
             let Some(destination) = self.destinations.get(&id) else { continue };
             let quiet = |lane: &Lane| lane.health == Health::Well && lane.blocked <= self.now;
             let idle = !self.held.contains_key(&id) && self.out(&id) == 0;
@@ -466,7 +466,7 @@
             if idle && warm && self.lanes_of(&id).all(quiet) {
                 self.forget(id);
             } else {
-                self.awake.push_back(id);
+                self.active.push_back(id);
             }
         }
     }
@@ -490,8 +490,8 @@
         });
         let (id, to, state) = (packet.id, packet.destination, State::Held(packet.doubt));
         self.packets.insert(id, Kept { packet, trade, soft, over_share, refused: false, state });
-        self.let_sleep();
-        self.rouse(to);
+        self.evict_idle();
+        self.activate(to);
         for lane in &self.destinations[&to].lanes {
             self.lanes.entry(*lane).and_modify(|lane| lane.asked.add(now, self.figures.soft * 8));
         }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -12,7 +12,7 @@
 use sailcart::*;
 
 /// Destinations of which more than their entry is kept, as `control.rs` has it; more where waits or outages stand.
-const AWAKE: u32 = 4096;
+const MOST_ACTIVE: u32 = 4096;
 const SIZES: [u32; 4] = [20, 200, 2000, 20_000];
 
 /// How many table entries a piece of work looks at.
@@ -158,7 +158,7 @@
     let mut play = Play::new(terms(), 20_000, 0, 8.0);
     visit(&mut play, 0..20_000, 20);
     // Those of the last ten seconds are kept for the time of warming, at fifty a second.
-    assert!(play.sender.awake() <= AWAKE as usize + 500 + 1, "{} awake", play.sender.awake());
+    assert!(play.sender.active() <= MOST_ACTIVE as usize + 500 + 1, "{} active", play.sender.active());
 }
 
 #[test]
@@ -217,15 +217,15 @@
 
 /// Forgotten and listed all the same: the first packet finds it as a new one.
 #[test]
-fn a_destination_that_sleeps_is_roused_by_its_next_packet() {
+fn a_destination_that_was_evicted_is_activated_by_its_next_packet() {
     let mut play = Play::new(terms(), 20_000, 0, 8.0);
     visit(&mut play, 0..12_000, 20);
-    assert!(play.sender.awake() < 12_000);
+    assert!(play.sender.active() < 12_000);
     let packet = play.take(1, 0, 0, None)[0];
     play.round();
     assert_eq!(play.out(), [packet]);
     play.back(packet, Outcome::Done);
-    // And its drain is heard while it sleeps.
+    // And its drain is heard while it is evicted.
     play.list(false, &[line(5, 5, 0, 8.0, false)]);
     let late = play.take(1, 5, 0, None)[0];
     play.round();
@@ -246,5 +246,5 @@
     }
     play.now += ms(20_000);
     play.list(false, &[]);
-    assert!(play.sender.awake() <= 20, "{} awake", play.sender.awake());
+    assert!(play.sender.active() <= 20, "{} active", play.sender.active());
 }
