Module: standard names for seven functions and the tracked packet

Names that needed explaining: give_way is cancel_overdue, make_room shed_load, judge learn_from, turn change_state, look_again dismiss_outlasted, enter_held hold, watch_silence detect_silence, Kept TrackedPacket. Renaming alone, in the module; its tests are green untouched.

--- a/src/control.rs
+++ b/src/control.rs
@@ -35,7 +35,7 @@
 const AGAIN: f64 = 0.1; // refused packets that may go again for each answer, where traffic is thin
 const TRIP: u32 = 8; // part of the soft limit before a packet's end in which no dispatch starts
 const SPARE: usize = 16; // one part in so many of the hold is kept free
-const MOST_ACTIVE: usize = 4096; // destinations of which all is kept that was learned; beyond, see `evict_idle`
+const MOST_ACTIVE: usize = 4096; // destinations of which all that was learned is kept; see `evict_idle`
 
 fn span_of(amount: f64, rate: f64) -> Duration {
     Duration::try_from_secs_f64((amount / rate).max(0.0)).unwrap_or(Duration::MAX)
@@ -259,7 +259,7 @@
     }
 }
 
-struct Kept {
+struct TrackedPacket {
     packet: Packet,
     trade: Category,
     soft: Duration, // when its answer is wanted
@@ -268,7 +268,7 @@
     state: State,
 }
 
-impl Kept {
+impl TrackedPacket {
     fn owed_a_try(&self) -> bool {
         self.packet.taken_on && self.packet.dispatches == 0
     }
@@ -311,7 +311,7 @@
     figures: Figures,
     rng: Option<ChaCha8Rng>,
     now: Duration,
-    packets: BTreeMap<PacketId, Kept>,
+    packets: BTreeMap<PacketId, TrackedPacket>,
     listing: Directory,                                // all that is listed
     destinations: Table<DestinationId, Destination>,   // those that had traffic, and what was learned of them
     active: VecDeque<DestinationId>,                   // the same, looked at in turn by `evict_idle`
@@ -366,8 +366,8 @@
         self.packets.contains_key(&id)
     }
 
-    /// News of the destination list; a whole list replaces the old one. Each line is noted, and set up at once for
-    /// a destination that had traffic, for another with its first packet.
+    /// News of the destination list; a whole list replaces the old one. Each line is noted, and applied at
+    /// once for a destination that had traffic, for another with its first packet.
     pub fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]) {
         self.now = now.max(self.now);
         self.asks_lost = if self.ask_at.is_none() { 0 } else { self.asks_lost };
@@ -421,7 +421,7 @@
             lanes.retain(|lane| stays(lane) || self.lanes.remove(lane).is_none());
         }
         let left = self.held.iter().filter(|(id, _)| !self.listing.lists(**id)).flat_map(|(_, held)| held);
-        left.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.enter_held(id));
+        left.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.hold(id));
         for id in changed {
             let Some(destination) = self.destinations.get(&id) else { continue };
             let recent = destination.used.saturating_add(self.figures.back.cold) > self.now;
@@ -454,8 +454,8 @@
         }
     }
 
-    /// Guards memory: of destinations beyond `MOST_ACTIVE` one that was not used for the time of warming keeps only
-    /// its entry in the list, unless a wait, a rest or an outage stands. Harm: what was learned is learned anew.
+    /// Guards memory: beyond `MOST_ACTIVE` a destination not used for the time of warming keeps only its entry
+    /// in the list, unless a wait, a rest or an outage stands. Harm: it is learned anew.
     fn evict_idle(&mut self) {
         for _ in 0..self.active.len().saturating_sub(MOST_ACTIVE).min(2) {
             let Some(id) = self.active.pop_front() else { return };
@@ -489,13 +489,13 @@
             !self.customers[at].take(self.now, quota, quota * self.figures.soft.as_secs_f64())
         });
         let (id, to, state) = (packet.id, packet.destination, State::Held(packet.doubt));
-        self.packets.insert(id, Kept { packet, trade, soft, over_share, refused: false, state });
+        self.packets.insert(id, TrackedPacket { packet, trade, soft, over_share, refused: false, state });
         self.evict_idle();
         self.activate(to);
         for lane in &self.destinations[&to].lanes {
             self.lanes.entry(*lane).and_modify(|lane| lane.asked.add(now, self.figures.soft * 8));
         }
-        self.enter_held(id);
+        self.hold(id);
     }
 
     /// Asked before the first byte of a call that may have waited for its connection: since it was decided,
@@ -511,8 +511,8 @@
     pub fn withdraw(&mut self, now: Duration, id: PacketId) {
         self.now = now.max(self.now);
         match self.packets.get(&id).map(|kept| kept.state) {
-            Some(State::Out(call, _)) => self.turn(id, State::Withdrawn(call)),
-            Some(State::Held(_)) => self.turn(id, State::Scrapped),
+            Some(State::Out(call, _)) => self.change_state(id, State::Withdrawn(call)),
+            Some(State::Held(_)) => self.change_state(id, State::Scrapped),
             _ => {}
         }
     }
@@ -541,23 +541,23 @@
         kept.packet.dispatches = kept.packet.dispatches.max(spent);
         let (state, key, to) = (kept.state, kept.packet.key, kept.packet.destination);
         let (State::Out(call, _) | State::Withdrawn(call)) = state else { return };
-        let since = self.judge(call, elapsed, outcome);
+        let since = self.learn_from(call, elapsed, outcome);
         let may_still_run = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if let (true, Some(turn)) = (may_still_run, key.and_then(|key| self.turns.get_mut(&key))) {
             turn.rests_until = now.saturating_add(self.figures.terms.settle);
         }
         let (State::Out(_, doubt), false) = (state, over || outcome == Outcome::Done) else {
-            return self.turn(id, State::Done);
+            return self.change_state(id, State::Done);
         };
         let may_have_run = may_still_run || outcome == Outcome::Error;
-        self.turn(id, State::Held(doubt.or(may_have_run.then_some(since))));
+        self.change_state(id, State::Held(doubt.or(may_have_run.then_some(since))));
         if self.figures.thin {
-            self.look_again(to);
+            self.dismiss_outlasted(to);
         }
     }
 
     /// Learns from a call, once for all its packets. Tells when it was sent.
-    fn judge(&mut self, call: u64, elapsed: Duration, outcome: Outcome) -> Duration {
+    fn learn_from(&mut self, call: u64, elapsed: Duration, outcome: Outcome) -> Duration {
         let (now, figures) = (self.now, &self.figures);
         let chance = self.rng.as_mut().map_or(0.5, |rng| rng.random());
         let Some(call) = self.calls.get_mut(&call) else { return now };
@@ -623,7 +623,7 @@
     }
 
     /// Every change of a packet's state: what it leaves is released, what it enters is booked.
-    fn turn(&mut self, id: PacketId, to: State) {
+    fn change_state(&mut self, id: PacketId, to: State) {
         let Some(kept) = self.packets.get_mut(&id) else { return };
         let from = std::mem::replace(&mut kept.state, to);
         let destination = kept.packet.destination;
@@ -643,7 +643,7 @@
             _ => {}
         }
         match to {
-            State::Held(_) => self.enter_held(id),
+            State::Held(_) => self.hold(id),
             State::Out(call, _) => {
                 self.calls.entry(call).and_modify(|call| call.packets.push(id));
             }
@@ -652,7 +652,7 @@
         }
     }
 
-    fn enter_held(&mut self, id: PacketId) {
+    fn hold(&mut self, id: PacketId) {
         let Some(kept) = self.packets.get(&id) else { return };
         let (to, last) = (kept.packet.destination, self.holdable_until(kept));
         let (listed, soon) = (self.listing.lists(to), self.now.saturating_add(kept.trade.soft_limit));
@@ -683,7 +683,7 @@
 
     /// A deficit that outlasts a packet's time: dismissed at once, with the wait as retry-after. What an
     /// earlier life took on and did not try is tried, unless what blocks its lanes outlasts it.
-    fn outlasts(&self, wait: Duration, kept: &Kept) -> bool {
+    fn outlasts(&self, wait: Duration, kept: &TrackedPacket) -> bool {
         let lanes = self.lanes_of(&kept.packet.destination);
         let Some(blocked) = lanes.map(|lane| lane.blocked).min() else { return false };
         let until = if kept.owed_a_try() { blocked } else { self.now.saturating_add(wait) };
@@ -691,7 +691,7 @@
     }
 
     /// A lane was cut: guards against packets that wait on although it opens after their time.
-    fn look_again(&mut self, to: DestinationId) {
+    fn dismiss_outlasted(&mut self, to: DestinationId) {
         let held = self.held.get(&to).into_iter().flatten().enumerate();
         let waits = held.map(|(before, id)| (*id, self.wait(to, before)));
         let over = waits.filter(|(id, wait)| self.outlasts(*wait, &self.packets[id]));
@@ -700,7 +700,7 @@
     }
 
     /// Until when a packet may be dispatched: by its patience, and the memory of it if it may have run.
-    fn holdable_until(&self, kept: &Kept) -> Duration {
+    fn holdable_until(&self, kept: &TrackedPacket) -> Duration {
         let last = match (kept.state, kept.trade.repeat) {
             (State::Held(Some(doubt)) | State::Out(_, Some(doubt)), Repeat::Deduplicated { memory, .. }) => {
                 doubt.saturating_add(memory)
@@ -724,9 +724,9 @@
         }
         self.end_due(host);
         self.close_idle(host);
-        self.watch_silence();
-        self.make_room(host);
-        self.give_way(host);
+        self.detect_silence();
+        self.shed_load(host);
+        self.cancel_overdue(host);
         self.place(host);
         self.set_wake(host);
     }
@@ -771,16 +771,16 @@
         if harmless {
             let wait = wait.unwrap_or_default().max(kept.trade.soft_limit / TRIP);
             host.dismiss(id, self.figures.terms.retry_after.map(|most| wait.min(most)));
-            self.turn(id, State::Dismissed);
+            self.change_state(id, State::Dismissed);
         } else {
             host.scrap(id);
-            self.turn(id, State::Scrapped);
+            self.change_state(id, State::Scrapped);
         }
     }
 
     /// Guards against calls that are taken and not answered: before the first time-out a lane gets one new
     /// call at a time. Harm: it idles behind one slow call; left out in thin traffic, as others seldom tell.
-    fn watch_silence(&mut self) {
+    fn detect_silence(&mut self) {
         for call in self.calls.values() {
             let Some(lane) = self.lanes.get_mut(&call.lane) else { continue };
             let silent = !self.figures.thin && self.now >= call.sent + lane.quiet_after(&self.figures);
@@ -791,13 +791,13 @@
     }
 
     /// A destination in trouble would fill the hold: the one with the most held gives up its oldest packet.
-    fn make_room(&mut self, host: &mut impl Host) {
+    fn shed_load(&mut self, host: &mut impl Host) {
         while self.packets.len() > self.figures.most_held {
             let new =
                 |held: &&BTreeSet<PacketId>| held.iter().filter(|id| !self.packets[id].owed_a_try()).count();
             let Some(fullest) = self.held.values().max_by_key(new) else { return };
             let rank = |id: &&PacketId| {
-                let Kept { packet, over_share, .. } = &self.packets[id];
+                let TrackedPacket { packet, over_share, .. } = &self.packets[id];
                 (self.packets[id].owed_a_try(), !over_share, packet.ends, **id)
             };
             let Some(victim) = fullest.iter().min_by_key(rank).copied() else { return };
@@ -808,7 +808,7 @@
     /// Guards against slots filled by calls without an answer: where a well destination has packets waiting,
     /// overdue calls beyond an eighth of the slots are called off, repeatable ones first; at a well lane,
     /// which may just be slow, after twice the silence. Harm: an answer to come may be lost.
-    fn give_way(&mut self, host: &mut impl Host) {
+    fn cancel_overdue(&mut self, host: &mut impl Host) {
         if !self.figures.terms.cancel || self.calls.len() < self.figures.terms.slots || !self.well_waits() {
             return;
         }
@@ -924,14 +924,14 @@
             kept.packet.dispatches += 1;
             self.again -= if kept.refused { 1.0 } else { 0.0 };
             host.dispatch(packet, endpoint_id, time_out);
-            self.turn(packet, State::Out(call, doubt));
+            self.change_state(packet, State::Out(call, doubt));
         }
         true
     }
 
     /// A third of the patience, so that what may go again does; the whole for what may not.
     fn time_out(&self, id: PacketId) -> Duration {
-        let Kept { packet, trade, .. } = &self.packets[&id];
+        let TrackedPacket { packet, trade, .. } = &self.packets[&id];
         let left = packet.ends.saturating_sub(self.now);
         if trade.repeat == Repeat::Unrepeatable { left } else { left.min(trade.patience / 3) }
     }
