--- a/src/control.rs
+++ b/src/control.rs
@@ -454,7 +454,7 @@
         }
     }
 
-    /// Guards memory: beyond `MOST_ACTIVE` a destination not used for the time of warming keeps only its entry
+    /// Guards memory: beyond `MOST_ACTIVE` one not used for the time of warming keeps only its entry
     /// in the list, unless a wait, a rest or an outage stands. Harm: it is learned anew.
     fn evict_idle(&mut self) {
         for _ in 0..self.active.len().saturating_sub(MOST_ACTIVE).min(2) {
