Laboratory: the simulation split by concern, behaviour unchanged to the byte

Now the state stands in `world`, and each concern is a module of its own with short, named steps; imports go one way, from the concerns to the state. Calls are known by `CallId`, and what a round asks for is typed in place of tuples.

--- a/crates/sailcart-lab/src/simulated/queue.rs
+++ b/crates/sailcart-lab/src/simulated/queue.rs
@@ -29,6 +29,7 @@
     }
 }
 
+/// Events that are still to come.
 pub struct Queue<E> {
     heap: BinaryHeap<Entry<E>>,
     next: u64,
@@ -41,11 +42,13 @@
 }
 
 impl<E> Queue<E> {
+    /// Puts an event that happens at a time.
     pub fn push(&mut self, at: Duration, event: E) {
         self.heap.push(Entry { key: Reverse((at, self.next)), event });
         self.next += 1;
     }
 
+    /// Takes the event that comes first, with its time.
     pub fn pop(&mut self) -> Option<(Duration, E)> {
         self.heap.pop().map(|entry| (entry.key.0.0, entry.event))
     }
--- /dev/null
+++ b/crates/sailcart-lab/src/simulated/rounds.rs
@@ -0,0 +1,132 @@
+//! A sender's rounds: when one is due, what it sees, and what it asks for.
+
+use std::time::Duration;
+
+use sailcart::{EndpointId, Outcome, PacketId};
+
+use super::event::Event;
+use super::sender::{Acts, Cancel};
+use super::world::World;
+use crate::plan::{Plan, SenderId};
+use crate::policies::Eyes;
+use crate::receivers::Receivers;
+use crate::watcher::Seen;
+
+/// What a round may look at, if its policy is the oracle.
+struct Sight<'a> {
+    plan: &'a Plan,
+    receivers: &'a Receivers,
+    /// Calls on their way, by gate.
+    going: &'a [usize],
+}
+
+impl Eyes for Sight<'_> {
+    fn would_finish(&self, now: Duration, endpoint: EndpointId, also: usize) -> Option<Duration> {
+        let behind = self.going[self.receivers.gate(endpoint)] + also;
+        self.receivers.would_finish(self.plan, now, endpoint, behind)
+    }
+}
+
+impl World<'_> {
+    /// A sender takes a packet that a client handed in.
+    pub fn take(&mut self, sender: SenderId, packet: PacketId) {
+        let taken = self.describe(packet);
+        let post = &mut self.posts[sender.0];
+        post.held.insert(packet);
+        post.fresh.push(packet);
+        if let Some(policy) = &mut post.policy {
+            policy.take(self.now, taken);
+        }
+        self.request_round(sender);
+    }
+
+    /// A packet as its sender knows it.
+    pub fn describe(&self, packet: PacketId) -> sailcart::Packet {
+        let parcel = self.parcel(packet);
+        let origin = self.origin_of(packet);
+        sailcart::Packet {
+            id: packet,
+            destination: origin.destination,
+            category: origin.category,
+            customer: origin.customer,
+            key: origin.key,
+            ends: parcel.ends,
+            dispatches: parcel.dispatches,
+            doubt: parcel.doubt,
+            taken_on: false,
+        }
+    }
+
+    /// Something came in: a round is due, but not too soon after the last.
+    pub fn request_round(&mut self, sender: SenderId) {
+        let post = &mut self.posts[sender.0];
+        let at = post.next_round.max(self.now);
+        if post.round_at.is_none_or(|due| due > at) {
+            post.round_at = Some(at);
+            self.queue.push(at, Event::Round { sender, life: post.life });
+        }
+    }
+
+    /// A round that was asked for in a certain life of a sender; nothing if that life is over.
+    pub fn round(&mut self, sender: SenderId, life: u32) {
+        let post = &self.posts[sender.0];
+        let lives_on = post.life == life && post.policy.is_some();
+        if !lives_on || post.round_at.is_none_or(|due| due > self.now) {
+            return;
+        }
+        let acts = self.decide(sender);
+        self.schedule_wake(sender, acts.wake);
+        for ended in acts.ends {
+            self.end_packet(ended);
+        }
+        self.confirm_taken(sender);
+        for cancel in acts.cancels {
+            self.cancel(cancel);
+        }
+        for endpoint in acts.closings {
+            self.close_idle(sender, endpoint);
+        }
+        self.dispatch(sender, acts.dispatches);
+    }
+
+    /// Asks the policy what it wants.
+    fn decide(&mut self, sender: SenderId) -> Acts {
+        let mut acts = Acts::default();
+        let sight = Sight { plan: self.plan, receivers: &self.receivers, going: &self.going };
+        let post = &mut self.posts[sender.0];
+        post.begin_round(self.now, self.plan.experiment.senders.round);
+        if let Some(policy) = &mut post.policy {
+            policy.decide(self.now, &sight, &mut acts);
+        }
+        acts
+    }
+
+    /// Has the sender woken when its policy asked for it, now or earlier.
+    fn schedule_wake(&mut self, sender: SenderId, after: Option<Duration>) {
+        let post = &mut self.posts[sender.0];
+        if let Some(after) = after {
+            post.wake_by(self.now + after);
+        }
+        if let Some(at) = post.wake_at {
+            let at = at.max(post.next_round);
+            post.round_at = Some(at);
+            self.queue.push(at, Event::Round { sender, life: post.life });
+        }
+    }
+
+    /// What was taken since the last round, and is not over, is written: its clients hear so.
+    fn confirm_taken(&mut self, sender: SenderId) {
+        for packet in std::mem::take(&mut self.posts[sender.0].fresh) {
+            if self.parcel(packet).end.is_none() {
+                self.answer_client(packet);
+                self.see(Seen::Taken(packet));
+            }
+        }
+    }
+
+    fn cancel(&mut self, cancel: Cancel) {
+        if let Some(call) = self.parcel(cancel.packet).call_of(cancel.dispatch) {
+            self.queue.push(self.now, Event::GiveUp(call, Outcome::Cancelled));
+        }
+    }
+}
