Laboratory: results without import circles, counts and their summing-up apart

bounds.rs read the figures' names from tally.rs, which read bounds; report.rs and the type it draws needed each other. Now the names stand in `figures`, typed, the result's types in `outcome`, and reading and writing them in `folder`; `tally` counts, `assemble` makes the result of it, `credit` is a module of its own. The public paths of the result's types stay; `tally::MEANINGS`, which nothing else used, is `figures::FIGURES`.

--- a/crates/sailcart-lab/src/results/compare.rs
+++ b/crates/sailcart-lab/src/results/compare.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::{fs, io};
 
-use super::Outcome;
+use super::outcome::Outcome;
 
 /// Spreads of the mean that a difference must pass.
 const SURE: f64 = 2.0;
--- a/crates/sailcart-lab/src/results/report.rs
+++ b/crates/sailcart-lab/src/results/report.rs
@@ -4,8 +4,8 @@
 
 use plotters::prelude::*;
 
-use super::tally::MEANINGS;
-use super::{Outcome, Series};
+use super::figures::{FIGURES, Figure};
+use super::outcome::{Outcome, Series};
 use crate::experiment::Mode;
 
 const SIZE: (u32, u32) = (900, 260);
@@ -16,6 +16,7 @@
 border-bottom:1px solid #ddd}td.n{text-align:right;font-variant-numeric:tabular-nums}\
 .bad{color:#b00020;font-weight:bold}.good{color:#176b2c}svg{max-width:100%;height:auto}";
 
+/// The whole page of a result.
 pub fn page(outcome: &Outcome) -> String {
     let mut html = String::new();
     let title = format!("{} ({}, seed {})", outcome.experiment, outcome.policy.word(), outcome.seed);
@@ -100,7 +101,7 @@
         html.push_str("</table>");
     }
     html.push_str("<h2>figures</h2><table>");
-    for (name, meaning) in MEANINGS {
+    for Figure { name, meaning } in FIGURES {
         let value = outcome.figure(name);
         let _ = write!(html, "<tr><td>{name}<td class=\"n\">{value}<td>{meaning}");
     }
