Store: log, compaction, recovery and room apart; no import circle between them

store.rs opened through recovery.rs, which built a store; and appending and compaction were one type's methods. Now `segmented_log` appends, syncs and reads; `compaction` cleans the old end of the log in steps; `recovery` reads a folder into a log; `room` has the bounds and sync modes; `store` is what callers see. Imports go one way. The public API is as it was. Listing a folder's segments and taking a frame into the index stood twice each and stand once now.

--- a/crates/sailcart-store/src/lib.rs
+++ b/crates/sailcart-store/src/lib.rs
@@ -6,6 +6,7 @@
 //! compaction, and every write does its share. All file work goes through [`Files`]. The format stands in
 //! `docs/store.md`.
 
+mod compaction;
 mod disk;
 mod fault;
 mod files;
@@ -13,8 +14,10 @@
 mod index;
 mod manifest;
 mod recovery;
+mod room;
 mod salvage;
 mod segment;
+mod segmented_log;
 mod store;
 
 pub use disk::Disk;
@@ -22,5 +25,6 @@
 pub use files::Files;
 pub use frame::{Change, MOST_KEY};
 pub use recovery::{Standing, check};
+pub use room::{Room, Sync};
 pub use salvage::{Salvaged, salvage};
-pub use store::{Effort, Room, Store, Sync};
+pub use store::{Effort, Store};
--- a/crates/sailcart-store/src/recovery.rs
+++ b/crates/sailcart-store/src/recovery.rs
@@ -1,193 +1,260 @@
 //! Start: the log is read, and either stands as a whole or is refused. Only what a crash explains is mended: a torn
 //! end of the last segment, a segment or a manifest that was being made, files that the manifest has left behind.
 
+use std::io::ErrorKind;
+
 use crate::fault::Fault;
-use crate::files::{Files, read_most};
-use crate::frame::Found;
+use crate::files::{Files, append_all, read_most};
+use crate::frame::{self, Found};
 use crate::index::Place;
 use crate::manifest;
-use crate::segment::{self, HEAD, Step, Walk, number};
-use crate::store::{Room, Segment, Store, Sync, blocks};
+use crate::room::{Room, Sync, blocks};
+use crate::segment::{self, HEAD, Listed, Step, Walk};
+use crate::segmented_log::{Segment, SegmentedLog};
 
 /// What was found at a start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
+    /// Keys that stand for something.
     pub keys: usize,
     pub segments: usize,
+    /// Bytes of all segments, each counted in whole 512.
     pub bytes: u64,
     pub records: u64,
     /// Bytes of a torn end that were cut: their record never counted.
     pub cut: u64,
 }
 
-pub(crate) fn open<F: Files>(mut files: F, room: Room) -> Result<(Store<F>, Standing), Fault> {
+/// A log that was read, and what was found in it.
+pub(crate) struct Recovered<F: Files> {
+    pub log: SegmentedLog<F>,
+    pub standing: Standing,
+}
+
+/// Locks a folder, reads its log, and mends what a crash explains.
+pub(crate) fn open<F: Files>(mut files: F, room: Room) -> Result<Recovered<F>, Fault> {
     files.lock().map_err(|fault| match fault.kind() {
-        std::io::ErrorKind::WouldBlock => Fault::InUse,
+        ErrorKind::WouldBlock => Fault::InUse,
         _ => Fault::io("locking", "lock")(fault),
     })?;
-    let mut store = Store::new(files, room);
-    let standing = read(&mut store, true)?;
-    Ok((store, standing))
+    Recovery::new(files, room, true).read()
 }
 
 /// Reads a folder without changing it: what stands in it, or the first fault.
 ///
 /// # Errors
-/// As for [`Store::open`]; a folder without a store has none to read and is [`Fault::Missing`].
+/// As for [`Store::open`](crate::Store::open); a folder without a store has none to read and is [`Fault::Missing`].
 pub fn check<F: Files>(files: F, each: &mut dyn FnMut(&[u8], &[u8])) -> Result<Standing, Fault> {
-    let mut store = Store::new(files, Room { bytes: u64::MAX / 2, sync: Sync::None });
-    let standing = read(&mut store, false)?;
-    let keys: Vec<Vec<u8>> = store.keys(&[], None).map(<[u8]>::to_vec).collect();
+    let room = Room { bytes: u64::MAX / 2, sync: Sync::None };
+    let Recovered { mut log, standing } = Recovery::new(files, room, false).read()?;
+    let keys: Vec<Vec<u8>> = log.index.range(&[], None).map(<[u8]>::to_vec).collect();
     for key in keys {
-        if let Some(value) = store.get(&key)? {
+        if let Some(value) = log.get(&key)? {
             each(&key, &value);
         }
     }
     Ok(standing)
 }
 
-fn read<F: Files>(store: &mut Store<F>, mend: bool) -> Result<Standing, Fault> {
-    let there = store.files.list().map_err(Fault::io("listing", "the folder"))?;
-    let mut numbers: Vec<(u64, u64)> =
-        there.iter().filter_map(|(name, length)| Some((number(name)?, *length))).collect();
-    numbers.sort();
-    let Some(first) = manifest::read(&mut store.files, &there)? else {
-        return begin(store, &numbers, mend);
-    };
-    let (left, kept): (Vec<_>, Vec<_>) = numbers.into_iter().partition(|(number, _)| *number < first);
-    for (number, _) in left.into_iter().filter(|_| mend) {
-        let name = segment::name(number);
-        store.files.remove(&name).map_err(Fault::io("removing", &name))?;
+/// A log that is being read.
+struct Recovery<F: Files> {
+    log: SegmentedLog<F>,
+    standing: Standing,
+    /// What a crash explains is mended; else the folder stays as it is.
+    mend: bool,
+}
+
+/// Where in the log a segment stands.
+#[derive(Clone, Copy)]
+struct Neighbours {
+    /// How long the segment before it has become, unless it is the first.
+    before: Option<u64>,
+    last: bool,
+}
+
+impl<F: Files> Recovery<F> {
+    fn new(files: F, room: Room, mend: bool) -> Self {
+        Recovery { log: SegmentedLog::new(files, room), standing: Standing::default(), mend }
     }
-    for (expected, (number, _)) in (first..).zip(&kept) {
-        if *number != expected {
-            return Err(Fault::Missing { file: segment::name(expected) });
+
+    fn read(mut self) -> Result<Recovered<F>, Fault> {
+        let there = self.log.files.list().map_err(Fault::io("listing", "the folder"))?;
+        let listed = segment::listed(&there);
+        match manifest::read(&mut self.log.files, &there)? {
+            None => self.begin(&listed)?,
+            Some(first) => self.read_from(first, &listed)?,
         }
+        self.standing.keys = self.log.index.len();
+        self.standing.segments = self.log.segments.len();
+        self.standing.bytes = self.log.segments.values().map(|segment| blocks(segment.length)).sum();
+        Ok(Recovered { log: self.log, standing: self.standing })
     }
-    if kept.is_empty() {
-        return Err(Fault::Missing { file: segment::name(first) });
+
+    /// A folder without a manifest is new, or its first start was cut short: then no record stands in it.
+    fn begin(&mut self, listed: &[Listed]) -> Result<(), Fault> {
+        let begun = listed.iter().all(|file| file.number == 1 && file.length <= HEAD as u64);
+        if !begun || !self.mend {
+            return Err(Fault::Missing { file: manifest::NAME.to_owned() });
+        }
+        let name = segment::name(1);
+        let files = &mut self.log.files;
+        if !listed.is_empty() {
+            files.remove(&name).map_err(Fault::io("removing", &name))?;
+        }
+        let mut file = files.create(&name).map_err(Fault::io("creating", &name))?;
+        append_all(files, &mut file, &segment::head(1, 0)).map_err(Fault::io("writing", &name))?;
+        let durable = self.log.room.is_durable();
+        if durable {
+            files.sync(&file).map_err(Fault::io("syncing", &name))?;
+        }
+        manifest::write(files, 1, durable)?;
+        self.log.segments.insert(1, Segment { file, length: HEAD as u64 });
+        Ok(())
     }
-    let mut standing = Standing::default();
-    let mut before = None;
-    for (at, (number, length)) in kept.iter().enumerate() {
-        let last = at + 1 == kept.len();
-        before = one(store, &mut standing, (*number, *length), before, last, mend)?;
+
+    /// Reads all segments from the first that counts; what stands before it is left over and goes.
+    fn read_from(&mut self, first: u64, listed: &[Listed]) -> Result<(), Fault> {
+        let (left_over, kept): (Vec<Listed>, Vec<Listed>) =
+            listed.iter().partition(|file| file.number < first);
+        if self.mend {
+            self.remove(&left_over)?;
+        }
+        check_complete(first, &kept)?;
+        let mut before = None;
+        for (at, file) in kept.iter().enumerate() {
+            let last = at + 1 == kept.len();
+            before = self.read_segment(*file, Neighbours { before, last })?;
+        }
+        Ok(())
     }
-    standing.keys = store.len();
-    standing.segments = store.segments.len();
-    standing.bytes = store.segments.values().map(|segment| blocks(segment.length)).sum();
-    Ok(standing)
-}
 
-/// A folder without a manifest is new, or its first start was cut short: then no record stands in it.
-fn begin<F: Files>(store: &mut Store<F>, there: &[(u64, u64)], mend: bool) -> Result<Standing, Fault> {
-    let begun = there.iter().all(|(number, length)| *number == 1 && *length <= HEAD as u64);
-    if !begun || !mend {
-        return Err(Fault::Missing { file: manifest::NAME.to_owned() });
+    fn remove(&mut self, left_over: &[Listed]) -> Result<(), Fault> {
+        for file in left_over {
+            let name = segment::name(file.number);
+            self.log.files.remove(&name).map_err(Fault::io("removing", &name))?;
+        }
+        Ok(())
     }
-    let name = segment::name(1);
-    if !there.is_empty() {
-        store.files.remove(&name).map_err(Fault::io("removing", &name))?;
+
+    /// Reads one segment into the index. Tells its length, for the next one's head to agree with.
+    fn read_segment(&mut self, listed: Listed, neighbours: Neighbours) -> Result<Option<u64>, Fault> {
+        let number = listed.number;
+        let name = segment::name(number);
+        let file = self.log.files.open(&name).map_err(Fault::io("opening", &name))?;
+        let mut head = [0u8; HEAD];
+        let read = read_most(&mut self.log.files, &file, 0, &mut head);
+        let head = &head[..read.map_err(Fault::io("reading", &name))?];
+        if self.is_torn_head(head, number, neighbours) {
+            return self.mend_head(file, listed, neighbours);
+        }
+        let told = segment::read_head(head, number)?;
+        if neighbours.before.is_some_and(|before| before != told) {
+            let file = segment::name(number - 1);
+            let expected = "as many bytes as the next segment tells";
+            return Err(Fault::Damaged { file, offset: neighbours.before.unwrap_or(0), expected });
+        }
+        self.read_records(file, listed, neighbours).map(Some)
     }
-    let mut file = store.files.create(&name).map_err(Fault::io("creating", &name))?;
-    let head = segment::head(1, 0);
-    crate::files::append_all(&mut store.files, &mut file, &head).map_err(Fault::io("writing", &name))?;
-    let durable = store.room.sync != Sync::None;
-    if durable {
-        store.files.sync(&file).map_err(Fault::io("syncing", &name))?;
+
+    /// A new segment whose head was being written; the one before it is whole.
+    fn is_torn_head(&self, head: &[u8], number: u64, neighbours: Neighbours) -> bool {
+        let short = head.len() < HEAD;
+        let unreadable = self.log.room.is_durable() && segment::read_head(head, number).is_err();
+        neighbours.last && neighbours.before.is_some() && (short || unreadable)
     }
-    manifest::write(&mut store.files, 1, durable)?;
-    store.segments.insert(1, Segment { file, length: HEAD as u64 });
-    Ok(Standing { segments: 1, bytes: blocks(HEAD as u64), ..Standing::default() })
-}
 
-/// Reads one segment into the index. Tells its length, for the next one's head to agree with.
-fn one<F: Files>(
-    store: &mut Store<F>,
-    standing: &mut Standing,
-    (number, length): (u64, u64),
-    before: Option<u64>,
-    last: bool,
-    mend: bool,
-) -> Result<Option<u64>, Fault> {
-    let name = segment::name(number);
-    let mut file = store.files.open(&name).map_err(Fault::io("opening", &name))?;
-    let mut head = [0u8; HEAD];
-    let read = read_most(&mut store.files, &file, 0, &mut head).map_err(Fault::io("reading", &name))?;
-    // A new segment whose head was being written; the one before it is whole.
-    let torn_head = last
-        && before.is_some()
-        && (read < HEAD || (loses(store) && segment::read_head(&head, number).is_err()));
-    if torn_head {
-        if !mend {
-            standing.cut += length;
-            return Ok(before);
+    /// Writes a torn head anew. Tells the length of the last segment that then stands.
+    fn mend_head(
+        &mut self,
+        mut file: F::File,
+        listed: Listed,
+        neighbours: Neighbours,
+    ) -> Result<Option<u64>, Fault> {
+        self.standing.cut += listed.length;
+        if !self.mend {
+            return Ok(neighbours.before);
         }
-        store.files.truncate(&mut file, 0).map_err(Fault::io("cutting", &name))?;
-        let whole = segment::head(number, before.unwrap_or(0));
-        crate::files::append_all(&mut store.files, &mut file, &whole).map_err(Fault::io("writing", &name))?;
-        standing.cut += length;
-        store.segments.insert(number, Segment { file, length: HEAD as u64 });
-        return Ok(Some(HEAD as u64));
+        let name = segment::name(listed.number);
+        let files = &mut self.log.files;
+        files.truncate(&mut file, 0).map_err(Fault::io("cutting", &name))?;
+        let whole = segment::head(listed.number, neighbours.before.unwrap_or(0));
+        append_all(files, &mut file, &whole).map_err(Fault::io("writing", &name))?;
+        self.log.segments.insert(listed.number, Segment { file, length: HEAD as u64 });
+        Ok(Some(HEAD as u64))
     }
-    let told = segment::read_head(&head[..read], number)?;
-    if before.is_some_and(|before| before != told) {
-        let file = segment::name(number - 1);
-        let expected = "as many bytes as the next segment tells";
-        return Err(Fault::Damaged { file, offset: before.unwrap_or(0), expected });
-    }
-    let mut walk = Walk::new(HEAD as u64, length);
-    let end = loop {
-        match walk.next(&mut store.files, &file).map_err(Fault::io("reading", &name))? {
-            Step::Frame(at) => {
-                let place = Place { segment: number, offset: at, length: (walk.offset - at) as u32, nth: 0 };
-                store.recovered(walk.body(at), place);
-                standing.records += 1;
-            }
-            Step::End => break walk.offset,
-            Step::Stuck(found) => {
-                tail(store, &file, (number, length), walk.offset, &found, last)?;
-                standing.cut += length - walk.offset;
-                if mend {
-                    let cut = store.files.truncate(&mut file, walk.offset);
-                    cut.map_err(Fault::io("cutting", &name))?;
+
+    /// Reads a segment's records into the index, up to its end or a torn one. Tells where that is.
+    fn read_records(
+        &mut self,
+        mut file: F::File,
+        listed: Listed,
+        neighbours: Neighbours,
+    ) -> Result<u64, Fault> {
+        let name = segment::name(listed.number);
+        let mut walk = Walk::new(HEAD as u64, listed.length);
+        loop {
+            match walk.next(&mut self.log.files, &file).map_err(Fault::io("reading", &name))? {
+                Step::Frame(at) => self.apply(&walk, listed.number, at),
+                Step::End => break,
+                Step::Stuck(found) => {
+                    self.check_torn_end(&file, listed, walk.offset, &found, neighbours.last)?;
+                    self.standing.cut += listed.length - walk.offset;
+                    if self.mend {
+                        let cut = self.log.files.truncate(&mut file, walk.offset);
+                        cut.map_err(Fault::io("cutting", &name))?;
+                    }
+                    break;
                 }
-                break walk.offset;
             }
         }
-    };
-    store.segments.insert(number, Segment { file, length: end });
-    Ok(Some(end))
-}
+        self.log.segments.insert(listed.number, Segment { file, length: walk.offset });
+        Ok(walk.offset)
+    }
+
+    /// Takes the frame that a walk found last, which began at `at`, into the index.
+    fn apply(&mut self, walk: &Walk, number: u64, at: u64) {
+        let place = Place { segment: number, offset: at, length: (walk.offset - at) as u32, nth: 0 };
+        self.log.apply(frame::changes(walk.body(at)).flatten(), place);
+        self.standing.records += 1;
+    }
 
-/// Whether this store is meant for machines that lose power: then an unsynced end may hold anything.
-fn loses<F: Files>(store: &Store<F>) -> bool {
-    store.room.sync != Sync::None
+    /// Whether what the walk got stuck at is a torn end, and not damage.
+    fn check_torn_end(
+        &mut self,
+        file: &F::File,
+        listed: Listed,
+        at: u64,
+        found: &Found,
+        last: bool,
+    ) -> Result<(), Fault> {
+        let name = segment::name(listed.number);
+        let expected = match found {
+            Found::Damaged(expected) => expected,
+            _ => "a whole record",
+        };
+        let damaged = Fault::Damaged { file: name.clone(), offset: at, expected };
+        // Writes come in order: what a killed process leaves is short, never changed. Lost power may change it.
+        if !last || (!self.log.room.is_durable() && *found != Found::Short) {
+            return Err(damaged);
+        }
+        let rest = segment::find(&mut self.log.files, file, at + 1, listed.length);
+        match rest.map_err(Fault::io("reading", &name))? {
+            // A whole record behind it: it was no end.
+            Some(_) => Err(damaged),
+            None => Ok(()),
+        }
+    }
 }
 
-/// Whether what the walk got stuck at is a torn end, and not damage.
-fn tail<F: Files>(
-    store: &mut Store<F>,
-    file: &F::File,
-    (number, length): (u64, u64),
-    at: u64,
-    found: &Found,
-    last: bool,
-) -> Result<(), Fault> {
-    let name = segment::name(number);
-    let expected = match found {
-        Found::Damaged(expected) => expected,
-        _ => "a whole record",
-    };
-    let damaged = Fault::Damaged { file: name.clone(), offset: at, expected };
-    // Writes come in order: what a killed process leaves is short, never changed. Lost power may change it.
-    if !last || (!loses(store) && *found != Found::Short) {
-        return Err(damaged);
+/// From the first segment on none may be missing.
+fn check_complete(first: u64, kept: &[Listed]) -> Result<(), Fault> {
+    for (expected, file) in (first..).zip(kept) {
+        if file.number != expected {
+            return Err(Fault::Missing { file: segment::name(expected) });
+        }
     }
-    let rest = segment::find(&mut store.files, file, at + 1, length).map_err(Fault::io("reading", &name))?;
-    match rest {
-        // A whole record behind it: it was no end.
-        Some(_) => Err(damaged),
-        None => Ok(()),
+    if kept.is_empty() {
+        return Err(Fault::Missing { file: segment::name(first) });
     }
+    Ok(())
 }
--- a/crates/sailcart-store/src/salvage.rs
+++ b/crates/sailcart-store/src/salvage.rs
@@ -6,7 +6,7 @@
 use crate::frame::{self, Change};
 use crate::index::{Index, Place};
 use crate::manifest;
-use crate::segment::{self, HEAD, Step, Walk};
+use crate::segment::{self, HEAD, Listed, Step, Walk};
 use crate::store::Store;
 
 /// What came over, and what did not.
@@ -25,20 +25,18 @@
 /// [`Fault::Io`] as the files fail, and what [`Store::write`] tells of the new folder.
 pub fn salvage<F: Files, G: Files>(mut from: F, into: &mut Store<G>) -> Result<Salvaged, Fault> {
     let there = from.list().map_err(Fault::io("listing", "the folder"))?;
-    let mut numbers: Vec<(u64, u64)> =
-        there.iter().filter_map(|(name, length)| Some((segment::number(name)?, *length))).collect();
-    numbers.sort();
+    let mut listed = segment::listed(&there);
     // A manifest that cannot be read leaves nothing out: segments before the first hold nothing that counts.
     let first = manifest::read(&mut from, &there).ok().flatten().unwrap_or(0);
-    numbers.retain(|(number, _)| *number >= first);
+    listed.retain(|segment| segment.number >= first);
     let (mut index, mut done) = (Index::default(), Salvaged::default());
-    for (before, after) in numbers.iter().zip(numbers.iter().skip(1)) {
-        if before.0 + 1 != after.0 {
-            done.given_up.push((segment::name(before.0 + 1), 0, 0));
+    for (before, after) in listed.iter().zip(listed.iter().skip(1)) {
+        if before.number + 1 != after.number {
+            done.given_up.push((segment::name(before.number + 1), 0, 0));
         }
     }
-    for (number, length) in &numbers {
-        one(&mut from, *number, *length, &mut index, &mut done)?;
+    for segment in listed {
+        read_segment(&mut from, segment, &mut index, &mut done)?;
     }
     let keys: Vec<(Vec<u8>, Place)> =
         index.range(&[], None).filter_map(|key| Some((key.to_vec(), index.get(key)?))).collect();
@@ -58,10 +56,10 @@
     Ok(done)
 }
 
-fn one<F: Files>(
+/// Reads one segment into an index, past what cannot be read.
+fn read_segment<F: Files>(
     from: &mut F,
-    number: u64,
-    length: u64,
+    Listed { number, length }: Listed,
     index: &mut Index,
     done: &mut Salvaged,
 ) -> Result<(), Fault> {
--- a/crates/sailcart-store/src/segment.rs
+++ b/crates/sailcart-store/src/segment.rs
@@ -12,15 +12,34 @@
 /// Bytes read at once while a log is walked.
 const CHUNK: usize = 64 * 1024;
 
+/// The name of a segment's file.
 pub(crate) fn name(number: u64) -> String {
     format!("segment-{number:016x}")
 }
 
-pub(crate) fn number(name: &str) -> Option<u64> {
+/// A segment's file as the folder lists it.
+#[derive(Clone, Copy)]
+pub(crate) struct Listed {
+    pub number: u64,
+    pub length: u64,
+}
+
+/// The segments among a folder's files, in order.
+pub(crate) fn listed(there: &[(String, u64)]) -> Vec<Listed> {
+    let mut segments: Vec<Listed> = there
+        .iter()
+        .filter_map(|(name, length)| Some(Listed { number: number(name)?, length: *length }))
+        .collect();
+    segments.sort_by_key(|segment| (segment.number, segment.length));
+    segments
+}
+
+fn number(name: &str) -> Option<u64> {
     let digits = name.strip_prefix("segment-").filter(|digits| digits.len() == 16)?;
     u64::from_str_radix(digits, 16).ok()
 }
 
+/// A segment's head, with the length that the segment before it had become.
 pub(crate) fn head(number: u64, before: u64) -> [u8; HEAD] {
     let mut head = [0u8; HEAD];
     head[..4].copy_from_slice(MARK);
@@ -32,7 +51,7 @@
     head
 }
 
-/// How long the segment before it had become.
+/// Reads a head: how long the segment before it had become.
 pub(crate) fn read_head(bytes: &[u8], number: u64) -> Result<u64, Fault> {
     let damaged = |offset, expected| Fault::Damaged { file: name(number), offset, expected };
     let bytes = bytes.get(..HEAD).ok_or_else(|| damaged(bytes.len() as u64, "a whole head"))?;
@@ -71,7 +90,7 @@
         Walk { bytes: Vec::new(), used: 0, offset: from, until }
     }
 
-    /// The next frame; its bytes stand in [`Walk::frame`] until the one after it.
+    /// The next frame; its bytes stand in [`Walk::body`] until the one after it.
     pub fn next<F: Files>(&mut self, files: &mut F, file: &F::File) -> std::io::Result<Step> {
         loop {
             let left = &self.bytes[self.used..];
