Sender: exchange.rs split by concern; endpoints no longer import it

One file of 600 lines held the clock, the host, the taking of packets, the list and calls, and it and endpoints.rs imported each other. Each concern is a short file of exchange/ now. A call and what its owner is asked and told (trait CallOwner) stand in outgoing.rs, which both sides import.

--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -1,4 +1,4 @@
-//! The endpoints' side: calls go out, each written once, and what comes of them is told to the exchange.
+//! The endpoints' side: calls go out, each written once, and what comes of them is told to their owner.
 
 use std::cell::RefCell;
 use std::io;
@@ -11,8 +11,8 @@
 use tokio::time::{sleep, timeout_at};
 
 use crate::caller::{self, Reply};
-use crate::exchange::{Call, Exchange};
 use crate::memory::pool::{Pool, ended};
+use crate::outgoing::{Call, CallOwner};
 use crate::wire::MOST_BODY;
 use crate::wire::call::{self, Ending, Parcel};
 use crate::wire::http::Head;
@@ -48,21 +48,21 @@
     }
 
     /// Carries a call out. Its connection has ended, or is idle again, before its outcome is told.
-    pub async fn carry(self: Rc<Self>, call: Call, exchange: Rc<Exchange>) {
-        exchange.turn_comes(&call).await;
+    pub async fn carry(self: Rc<Self>, call: Call, owner: Rc<impl CallOwner>) {
+        owner.turn_comes(&call).await;
         let (endings, head, keeps) = match self.connect(&call).await {
             None => (alike(&call, Outcome::NoConnection), None, None),
-            Some(stream) if !exchange.sends(&call) => (alike(&call, Outcome::NoSlot), None, Some(stream)),
+            Some(stream) if !owner.sends(&call) => (alike(&call, Outcome::NoSlot), None, Some(stream)),
             Some(stream) => speak(&call, stream).await,
         };
         match keeps {
-            Some(stream) if exchange.lists(call.endpoint) => {
+            Some(stream) if owner.lists(call.endpoint) => {
                 self.pool.borrow_mut().put(call.endpoint, call.address, stream);
             }
             Some(_) => ended(call.address, "unlisted"),
             None => {}
         }
-        exchange.came_back(&call, &endings, head.as_ref());
+        owner.came_back(&call, &endings, head.as_ref());
     }
 
     async fn connect(&self, call: &Call) -> Option<TcpStream> {
--- /dev/null
+++ b/crates/sailcart-sender/src/exchange/desk.rs
@@ -0,0 +1,101 @@
+//! The desk: what the sender's host keeps between rounds, and the end of a packet.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use sailcart::{DestinationId, EndpointId, PacketId};
+use sailcart_terms::Names;
+use tokio::sync::{Notify, oneshot};
+
+use super::clock::Clock;
+use super::lists::Place;
+use super::packets::{Answer, tell};
+use crate::memory::Notice;
+use crate::memory::ledger::Ledger;
+use crate::memory::untold::Untold;
+use crate::memory::wakes::Wakes;
+
+/// The sender's host, and names both ways.
+pub(super) struct Desk {
+    pub(super) clock: Clock,
+    pub(super) names: Names,
+    pub(super) batches: Vec<usize>,
+    /// By category: no packet has longer, whatever the clock of an earlier life told.
+    pub(super) patience: Vec<Duration>,
+    pub(super) retry_after: Option<Duration>,
+    pub(super) ledger: Ledger,
+    /// Those that are listed and live, and no others.
+    pub(super) endpoints: HashMap<String, EndpointId>,
+    /// Theirs.
+    pub(super) places: HashMap<EndpointId, Place>,
+    pub(super) next_endpoint: u32,
+    /// When each destination was last listed.
+    pub(super) destinations: HashMap<DestinationId, Duration>,
+    /// Discovery has spoken in this life.
+    pub(super) told: bool,
+    /// Who waits for the answer to a packet: its client, and those that handed in twins.
+    pub(super) answers: BTreeMap<PacketId, Vec<oneshot::Sender<Answer>>>,
+    /// Packets that are out, each with what calls it off.
+    pub(super) out: BTreeMap<PacketId, Rc<Notify>>,
+    /// This round's dispatches.
+    pub(super) sending: Vec<(EndpointId, Vec<(PacketId, Duration)>)>,
+    /// Endpoints whose idle connections are to be closed, with the code for the log.
+    pub(super) closing: Vec<(EndpointId, &'static str)>,
+    pub(super) wakes: Wakes,
+    pub(super) untold: Untold,
+    /// By category: whether its packets go in the order of their keys.
+    pub(super) in_order: Vec<bool>,
+}
+
+impl Desk {
+    pub(super) fn new(terms: &sailcart::Terms, names: Names, ledger: Ledger) -> Self {
+        let stands = ledger.unended().into_iter().map(|packet| ledger.stand(packet.number));
+        let clock = Clock::new(stands.filter_map(|stand| stand.doubt.or(stand.out)));
+        let untold = Untold::new(ledger.owed().map(|(id, ..)| id));
+        Desk {
+            clock,
+            names,
+            batches: terms.kinds.iter().map(|kind| kind.batch.max(1)).collect(),
+            patience: terms.categories.iter().map(|category| category.patience).collect(),
+            retry_after: terms.retry_after,
+            ledger,
+            endpoints: HashMap::new(),
+            places: HashMap::new(),
+            next_endpoint: 0,
+            destinations: HashMap::new(),
+            told: false,
+            answers: BTreeMap::new(),
+            out: BTreeMap::new(),
+            sending: Vec::new(),
+            closing: Vec::new(),
+            wakes: Wakes::default(),
+            untold,
+            in_order: terms.categories.iter().map(|category| category.in_order).collect(),
+        }
+    }
+
+    /// A packet's end without being delivered: told to its client if that still waits for its first answer,
+    /// or else to the platform.
+    pub(super) fn end(&mut self, id: PacketId, notice: Notice) {
+        let (ends, dispatches) =
+            (self.ledger.packet(id).map(|packet| packet.ends), self.ledger.stand(id).dispatches);
+        if let Some(left) = ends.map(|ends| ends.0.saturating_sub(self.clock.unix(self.clock.now()).0)) {
+            log::debug!("packet {}: ends {notice:?}, {dispatches} dispatches, {left:?} left", id.0);
+        }
+        if let Some(waiting) = self.answers.remove(&id) {
+            tell(waiting, notice.into());
+            self.ledger.over(id, Some(notice));
+        } else {
+            self.owe(id, notice);
+        }
+    }
+
+    /// A notice is owed to the platform.
+    pub(super) fn owe(&mut self, id: PacketId, notice: Notice) {
+        if let Some(key) = self.ledger.packet(id).cloned().and_then(|packet| self.order(&packet)) {
+            self.untold.owe(id, key);
+        }
+        self.ledger.owe(id, notice);
+    }
+}
--- /dev/null
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -0,0 +1,112 @@
+//! Where clients and endpoints meet: the owner of the [`Sender`] and the host that carries out what it
+//! decides. What comes in is told to the sender at once; a round follows soon, and its answers go out.
+
+mod calls;
+mod clock;
+mod desk;
+mod host;
+mod lists;
+mod packets;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sailcart::{PacketId, Sender};
+use sailcart_terms::Names;
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
+
+use self::desk::Desk;
+pub use self::packets::Answer;
+use self::packets::tell;
+use crate::endpoints::Endpoints;
+use crate::memory::Notice;
+use crate::memory::ledger::Ledger;
+
+/// How long rounds wait where nothing comes in and the sender asked for none.
+const LONGEST_REST: Duration = Duration::from_secs(3600);
+
+pub struct Exchange {
+    within: RefCell<Within>,
+    /// Something came in: a round is due.
+    bell: Notify,
+    /// Notices are owed.
+    pub notices: Notify,
+    /// The platform has some of them.
+    heard: Notify,
+}
+
+struct Within {
+    sender: Sender,
+    desk: Desk,
+    stopped: bool,
+}
+
+impl Exchange {
+    pub fn new(terms: sailcart::Terms, seed: u64, names: Names, ledger: Ledger) -> Self {
+        let desk = Desk::new(&terms, names, ledger);
+        let within = Within { sender: Sender::new(terms, seed), desk, stopped: false };
+        let (bell, notices, heard) = (Notify::new(), Notify::new(), Notify::new());
+        Exchange { within: RefCell::new(within), bell, notices, heard }
+    }
+
+    /// Reads the notices that are owed.
+    pub fn owed<T>(&self, read: impl FnOnce(&mut dyn Iterator<Item = (PacketId, &str, Notice)>) -> T) -> T {
+        read(&mut self.within.borrow().desk.ledger.owed())
+    }
+
+    /// The platform has these notices.
+    pub fn told(&self, ids: &[PacketId]) {
+        log::debug!("notices: told {:?}", ids.iter().map(|id| id.0).collect::<Vec<_>>());
+        let desk = &mut self.within.borrow_mut().desk;
+        desk.ledger.told(ids);
+        desk.untold.told(ids);
+        self.heard.notify_waiters();
+    }
+
+    /// Takes nothing more; what is out may come back.
+    pub fn stop(&self) {
+        self.within.borrow_mut().stopped = true;
+        self.bell.notify_one();
+    }
+
+    /// A round whenever something came in or the sender asked for one, but not too often.
+    pub async fn rounds(self: Rc<Self>, pace: Duration, endpoints: Rc<Endpoints>) {
+        loop {
+            let wake = self.within.borrow().desk.wakes.next();
+            tokio::select! {
+                () = self.bell.notified() => {}
+                () = sleep_until(wake.unwrap_or(Instant::now() + LONGEST_REST).into()) => {}
+            }
+            let start = Instant::now();
+            self.round(&endpoints);
+            sleep_until((start + pace).into()).await;
+        }
+    }
+
+    fn round(self: &Rc<Self>, endpoints: &Rc<Endpoints>) {
+        let Within { sender, desk, stopped } = &mut *self.within.borrow_mut();
+        desk.wakes.meet(Instant::now());
+        if !*stopped || !desk.answers.is_empty() {
+            sender.decide(desk.clock.now(), desk);
+        }
+        if let Err(fault) = desk.ledger.commit() {
+            // What heard +OK must stand; what does can only be read by a new start.
+            log::error!("journal: code=not_synced {fault}; the sender ends");
+            std::process::exit(1);
+        }
+        for (_, waiting) in std::mem::take(&mut desk.answers) {
+            tell(waiting, Answer::Taken);
+        }
+        for (endpoint, code) in std::mem::take(&mut desk.closing) {
+            endpoints.close(endpoint, code);
+        }
+        for call in desk.calls() {
+            tokio::task::spawn_local(endpoints.clone().carry(call, self.clone()));
+        }
+        if desk.ledger.owed().next().is_some() {
+            self.notices.notify_one();
+        }
+    }
+}
--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -1,5 +1,5 @@
 //! The sender: sailcart's decisions carried out on sockets. [`clients`] and [`endpoints`] meet only in
-//! [`exchange`]; [`wire`] is what is spoken, [`memory`] what is kept, [`life`] start and stop.
+//! [`exchange`], whose calls are [`outgoing`]; [`wire`] is what is spoken, [`memory`] what is kept, [`life`] start and stop.
 
 pub mod caller;
 pub mod clients;
@@ -9,6 +9,7 @@
 pub mod inspect;
 pub mod life;
 pub mod memory;
+pub mod outgoing;
 pub mod pauses;
 pub mod platform;
 pub mod rhythm;
