Sender: the list is staged in the directory, and told in slices of what differs

Each news of the list walked every listed endpoint, and a whole list took its whole difference at once.

Exchange::stage, add and commit read a list in parts: a line equal to what is held only stamps its slot, others are kept in chunks until the commit. Recovery and reload go the same way without yields. Exchange::fits tells whether a partial list fits beside what is held, which its entries alone do not tell.

With a whole list, lines that say nothing new are no longer passed on, and what is gone comes in the order of its slots instead of none. Tested on an exchange: 10,000 new endpoints in ten slices and nine yields, none of them turning a destination away before the last; a list dropped or refused half-way leaves what was told.

--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep_until;
 
 use super::desk::Desk;
-use super::lists::Place;
+use super::directory::Place;
 use super::packets::key;
 use super::{Exchange, Within};
 use crate::memory::{Notice, Packet};
@@ -50,7 +50,7 @@
     }
 
     fn lists(&self, endpoint: EndpointId) -> bool {
-        self.within.borrow().desk.places.contains_key(&endpoint)
+        self.within.borrow().desk.directory.contains(endpoint)
     }
 
     fn came_back(&self, call: &Call, endings: &[Ending], head: Option<&Head>) {
@@ -97,8 +97,8 @@
     pub(super) fn calls(&mut self) -> Vec<Call> {
         let mut calls = Vec::new();
         for (endpoint, sending) in std::mem::take(&mut self.sending) {
-            let Some(Place { address, kind, .. }) = self.places.get(&endpoint) else { continue };
-            let (address, batch) = (*address, self.batches[*kind]);
+            let Some(Place { address, kind, .. }) = self.directory.place(endpoint) else { continue };
+            let batch = self.batches[usize::from(kind)];
             for chunk in sending.chunks(batch) {
                 let called_off = Rc::new(Notify::new());
                 let ids = chunk.iter().map(|(id, _)| *id);
--- a/crates/sailcart-sender/src/exchange/desk.rs
+++ b/crates/sailcart-sender/src/exchange/desk.rs
@@ -1,15 +1,15 @@
 //! The desk: what the sender's host keeps between rounds, and the end of a packet.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use sailcart::{DestinationId, EndpointId, PacketId};
+use sailcart::{EndpointId, PacketId};
 use sailcart_terms::Names;
 use tokio::sync::{Notify, oneshot};
 
 use super::clock::Clock;
-use super::lists::Place;
+use super::directory::Directory;
 use super::packets::{Answer, tell};
 use crate::memory::Notice;
 use crate::memory::ledger::Ledger;
@@ -25,13 +25,8 @@
     pub(super) patience: Vec<Duration>,
     pub(super) retry_after: Option<Duration>,
     pub(super) ledger: Ledger,
-    /// Those that are listed and live, and no others.
-    pub(super) endpoints: HashMap<String, EndpointId>,
-    /// Theirs.
-    pub(super) places: HashMap<EndpointId, Place>,
-    pub(super) next_endpoint: u32,
-    /// When each destination was last listed.
-    pub(super) destinations: HashMap<DestinationId, Duration>,
+    /// Live endpoints, and which destinations are known.
+    pub(super) directory: Directory,
     /// Discovery has spoken in this life.
     pub(super) told: bool,
     /// Who waits for the answer to a packet: its client, and those that handed in twins.
@@ -60,10 +55,7 @@
             patience: terms.categories.iter().map(|category| category.patience).collect(),
             retry_after: terms.retry_after,
             ledger,
-            endpoints: HashMap::new(),
-            places: HashMap::new(),
-            next_endpoint: 0,
-            destinations: HashMap::new(),
+            directory: Directory::new(),
             told: false,
             answers: BTreeMap::new(),
             out: BTreeMap::new(),
--- a/crates/sailcart-sender/src/exchange/lists.rs
+++ b/crates/sailcart-sender/src/exchange/lists.rs
@@ -1,40 +1,56 @@
-//! The destination list: what it tells the sender, and what is forgotten with it.
+//! The destination list: staged as it is read, and put in force in slices.
 
-use std::collections::HashSet;
-use std::net::SocketAddr;
-use std::time::Duration;
+use sailcart::DestinationId;
+use tokio::task::yield_now;
 
-use sailcart::{DestinationId, EndpointId, KindId, Listing};
-
-use super::desk::Desk;
+use super::directory::{Line, Place};
+use super::staged::{ListTooLarge, StagedList};
+use super::update::{Step, Update};
 use super::{Exchange, Within};
 use crate::wire::discovery::{Entry, List};
 
-/// A destination that was not listed for so long is not known any more.
-const FORGOTTEN: Duration = Duration::from_secs(3600);
+impl Exchange {
+    /// Begins to stage a list after which at most so many endpoints may be held. One list is staged at a time: an older one that
+    /// is not in force yet counts for nothing from now on.
+    pub fn stage(&self, most: usize) -> StagedList {
+        StagedList::new(&mut self.within.borrow_mut().desk.directory, most)
+    }
 
-/// What an endpoint is; one of which any of this changes is another endpoint.
-#[derive(PartialEq)]
-pub(super) struct Place {
-    pub(super) address: SocketAddr,
-    pub(super) destination: DestinationId,
-    pub(super) kind: usize,
-}
+    /// Adds entries as read. Cost is in step with their number; only what differs from what is held takes memory.
+    ///
+    /// Refused as soon as the live endpoints that the list itself names are more than may be held. Whether those that a partial
+    /// list adds fit beside those that are held is known at its end: [`fits`](Self::fits) tells.
+    pub fn add(&self, staged: &mut StagedList, entries: Vec<Entry>) -> Result<(), ListTooLarge> {
+        entries.iter().try_for_each(|entry| self.add_entry(staged, entry))
+    }
 
-impl Place {
-    /// As the sender hears of it when it is no longer live.
-    fn line(&self, endpoint: EndpointId, rate: f64) -> Listing {
-        Listing { endpoint, destination: self.destination, kind: KindId(self.kind), live: false, rate }
+    /// Whether a list that was read to its end may be put in force, as a whole or as a partial one.
+    pub fn fits(&self, staged: &StagedList, whole: bool) -> Result<(), ListTooLarge> {
+        staged.fits(&self.within.borrow().desk.directory, whole)
+    }
+
+    /// Puts it in force: `whole` replaces all that was told before. Large ones in slices, with yields in between.
+    ///
+    /// The decision module hears of what differs, and of no line that says what it has heard, also where the list is a whole one.
+    /// One that does not [fit](Self::fits) is refused, with a line in the log. Not to be given up half-way: what was told by
+    /// then stays in force.
+    pub async fn commit(&self, staged: StagedList, whole: bool) {
+        let Some(mut update) = self.begin(staged, whole) else { return };
+        while !self.step(&mut update) {
+            yield_now().await;
+        }
+        self.within.borrow_mut().desk.told = true;
     }
-}
 
-impl Exchange {
     /// The destination list as last known before this life.
     pub fn known(&self, list: &List) {
-        let Within { sender, desk, .. } = &mut *self.within.borrow_mut();
-        let lines = desk.listings(list);
-        sender.list(desk.clock.now(), list.whole, &lines);
-        self.bell.notify_one();
+        let mut staged = self.stage(usize::MAX);
+        let added = list.entries.iter().try_for_each(|entry| self.add_entry(&mut staged, entry));
+        if let Err(fault) = added {
+            return log::error!("list: refused, code=too_large {fault}");
+        }
+        let Some(mut update) = self.begin(staged, list.whole) else { return };
+        while !self.step(&mut update) {}
     }
 
     /// News of the destination list.
@@ -42,61 +58,44 @@
         self.known(list);
         self.within.borrow_mut().desk.told = true;
     }
-}
-
-impl Desk {
-    /// What a list tells the sender. What has left it is forgotten here, so that a new endpoint at an address
-    /// that was in use, or a new place for an old name, inherits nothing.
-    fn listings(&mut self, list: &List) -> Vec<Listing> {
-        let mut lines = Vec::new();
-        if list.whole {
-            let listed: HashSet<&str> = list.entries.iter().map(|entry| &*entry.name).collect();
-            let gone = self.endpoints.keys().filter(|name| !listed.contains(&***name));
-            for name in gone.cloned().collect::<Vec<_>>() {
-                self.forget(&name, &mut lines);
-            }
-        }
-        for entry in &list.entries {
-            self.read_entry(entry, &mut lines);
-        }
-        let now = self.clock.now();
-        self.destinations.extend(self.places.values().map(|place| (place.destination, now)));
-        self.destinations.retain(|_, listed| now.saturating_sub(*listed) < FORGOTTEN);
-        lines
-    }
 
-    fn read_entry(&mut self, entry: &Entry, lines: &mut Vec<Listing>) {
-        let Some(kind) = self.names.kinds.get(&entry.kind).copied() else {
-            return log::warn!("list: endpoint {} passed over, unknown kind {}", entry.name, entry.kind);
+    fn add_entry(&self, staged: &mut StagedList, entry: &Entry) -> Result<(), ListTooLarge> {
+        let desk = &mut self.within.borrow_mut().desk;
+        let kind = desk.names.kinds.get(&entry.kind).and_then(|kind| u16::try_from(*kind).ok());
+        let Some(kind) = kind else {
+            log::warn!("list: endpoint {} passed over, unknown kind {}", entry.name, entry.kind);
+            return staged.keep(&mut desk.directory, &entry.name);
         };
         let place = Place { address: entry.address, destination: DestinationId(entry.destination), kind };
-        // Known also while all its endpoints drain: packets for it are no mistake of their clients.
-        self.destinations.insert(place.destination, self.clock.now());
-        let old = self.endpoints.get(&entry.name).copied();
-        let same = old.filter(|id| self.places.get(id) == Some(&place));
-        if !entry.live || same.is_none() {
-            self.forget(&entry.name, lines);
+        let line = Line { name: &entry.name, place, live: entry.live, rate: entry.rate };
+        staged.add(&mut desk.directory, &line)
+    }
+
+    fn begin(&self, staged: StagedList, whole: bool) -> Option<Update> {
+        let desk = &self.within.borrow().desk;
+        if !staged.is_latest(&desk.directory) {
+            log::error!("list: given up, code=superseded");
+            return None;
         }
-        if entry.live {
-            let endpoint = same.unwrap_or(EndpointId(self.next_endpoint));
-            self.next_endpoint += u32::from(same.is_none());
-            let line = Listing { endpoint, live: true, ..place.line(endpoint, entry.rate) };
-            log::debug!(
-                "list: {} of destination {}, {} a second",
-                entry.address,
-                entry.destination,
-                entry.rate
-            );
-            self.endpoints.insert(entry.name.clone(), endpoint);
-            self.places.insert(endpoint, place);
-            lines.push(line);
+        let fits = staged.fits(&desk.directory, whole);
+        if let Err(fault) = fits {
+            log::error!("list: refused, code=too_large {fault}");
         }
+        fits.ok().map(|()| Update::new(staged, whole, &desk.directory, desk.clock.now()))
     }
 
-    /// An endpoint drains, is gone, or is another now.
-    fn forget(&mut self, name: &str, lines: &mut Vec<Listing>) {
-        let Some(endpoint) = self.endpoints.remove(name) else { return };
-        self.closing.push((endpoint, "unlisted"));
-        lines.extend(self.places.remove(&endpoint).map(|place| place.line(endpoint, 0.0)));
+    /// Does a step of an update, and tells the decision module; true once the list is in force.
+    fn step(&self, update: &mut Update) -> bool {
+        let Within { sender, desk, .. } = &mut *self.within.borrow_mut();
+        let (lines, last) = match update.step(&mut desk.directory) {
+            Step::Searched => return false,
+            Step::Lines(lines) => (lines, false),
+            Step::Last(lines) => (lines, true),
+        };
+        let left = lines.iter().filter(|line| !line.live);
+        desk.closing.extend(left.map(|line| (line.endpoint, "unlisted")));
+        sender.list(desk.clock.now(), false, &lines);
+        self.bell.notify_one();
+        last
     }
 }
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -23,6 +23,7 @@
 use self::desk::Desk;
 pub use self::packets::Answer;
 use self::packets::tell;
+pub use self::staged::{ListTooLarge, StagedList};
 use crate::endpoints::Endpoints;
 use crate::memory::Notice;
 use crate::memory::ledger::Ledger;
--- a/crates/sailcart-sender/src/exchange/packets.rs
+++ b/crates/sailcart-sender/src/exchange/packets.rs
@@ -102,7 +102,7 @@
         let now = desk.clock.now();
         let packet = desk.copy(put, now);
         let taken = desk.describe(&packet).map_err(Answer::Unknown)?;
-        if desk.told && !desk.destinations.contains_key(&taken.destination) {
+        if desk.told && !desk.directory.knows(taken.destination) {
             return Err(Answer::Unknown("destination"));
         }
         desk.ledger.take(packet).map_err(|fault| {
--- a/crates/sailcart-sender/tests/directory.rs
+++ b/crates/sailcart-sender/tests/directory.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -11,6 +13,11 @@
 use sailcart_sender::exchange::directory::{Directory, Line, Place, SLOT_BYTES};
 use sailcart_sender::exchange::staged::{ListTooLarge, SLICE, StagedList};
 use sailcart_sender::exchange::update::{Step, Update};
+use sailcart_sender::exchange::{Answer, Exchange};
+use sailcart_sender::memory::ledger::Ledger;
+use sailcart_sender::wire::Put;
+use sailcart_sender::wire::discovery::Entry;
+use sailcart_sender::{config, outgoing::CallOwner};
 
 const HOUR: Duration = Duration::from_secs(3600);
 /// As many as the largest sender lists.
@@ -342,6 +349,56 @@
     assert!(lines.iter().all(|line| !line.live) && lines.len() == 5, "{lines:?}");
 }
 
+/// As many lines as one slice holds come at once: an endpoint that moved is two of them, one with another rate is one.
+#[test]
+fn a_difference_that_fits_one_slice_comes_at_once() {
+    let mut directory = Directory::new();
+    let mut lines: Vec<Written> = (0..SLICE as u32).map(Written::new).collect();
+    let mut slices = |lines: &[Written]| -> Vec<usize> {
+        list(&mut directory, false, HOUR, lines).iter().map(Vec::len).collect()
+    };
+    assert_eq!(slices(&lines), [SLICE]);
+    lines.iter_mut().for_each(|line| line.rate += 1.0);
+    assert_eq!(slices(&lines), [SLICE]);
+    lines[..SLICE / 2].iter_mut().for_each(|line| line.address.set_port(9));
+    assert_eq!(slices(&lines), [SLICE]);
+    lines.iter_mut().for_each(|line| line.address.set_port(10));
+    assert_eq!(slices(&lines), [SLICE, SLICE]);
+    lines.iter_mut().for_each(|line| line.live = false);
+    assert_eq!(slices(&lines), [SLICE]);
+}
+
+/// What is gone is looked for in steps too, and nothing changes before all is found.
+#[test]
+fn a_whole_list_is_searched_in_steps() {
+    let mut directory = Directory::new();
+    let all: Vec<Written> = (0..40_000).map(Written::new).collect();
+    list(&mut directory, true, HOUR, &all);
+    let staged = stage(&mut directory, ANY, &all[1..]).expect("room");
+    let mut update = Update::new(staged, true, &directory, HOUR);
+    for _ in 0..2 {
+        assert!(matches!(update.step(&mut directory), Step::Searched));
+        assert_eq!(directory.len(), all.len());
+    }
+    let Step::Last(lines) = update.step(&mut directory) else { panic!("expected the last step") };
+    assert_eq!(lines.iter().map(told).collect::<Vec<_>>(), [(0, 0, 0, false, 0)]);
+}
+
+/// Guards against half of an old list that goes on over a newer one.
+#[test]
+fn a_list_on_its_way_ends_where_another_is_begun() {
+    let mut directory = Directory::new();
+    let all: Vec<Written> = (0..10_000).map(Written::new).collect();
+    let staged = stage(&mut directory, ANY, &all).expect("room");
+    let mut update = Update::new(staged, false, &directory, HOUR);
+    let Step::Lines(first) = update.step(&mut directory) else { panic!("expected lines") };
+    let newer = stage(&mut directory, ANY, &all[..10]).expect("room");
+    assert!(matches!(update.step(&mut directory), Step::Last(lines) if lines.is_empty()));
+    assert_eq!(directory.len(), first.len());
+    commit(&mut directory, newer, true, HOUR);
+    assert_eq!(directory.len(), 10);
+}
+
 #[test]
 fn a_list_without_news_tells_nothing_once() {
     let mut directory = Directory::new();
@@ -448,11 +505,16 @@
         (0..1_000).filter(|number| directory.knows(DestinationId(*number))).collect()
     };
     assert_eq!(known(&directory), (989..1_000).collect::<Vec<_>>(), "the one that is listed, and ten");
-    // One that comes and goes displaces nobody.
+    // One that comes and goes displaces nobody, nor does one that is told again and again to drain.
     for _ in 0..200 {
         only(&mut directory, 999);
         only(&mut directory, 998);
     }
+    let drains = Written { live: false, ..Written::new(999) };
+    for _ in 0..200 {
+        let staged = stage(&mut directory, 10, std::slice::from_ref(&drains)).expect("room");
+        commit(&mut directory, staged, false, at(1_000));
+    }
     assert_eq!(known(&directory), (989..1_000).collect::<Vec<_>>());
 }
 
@@ -469,3 +531,90 @@
     let each = directory.bytes() as f64 / f64::from(LARGEST);
     assert!(each <= 90.0, "{each}");
 }
+
+/// An exchange on the example's settings.
+fn exchange(folder: &std::path::Path) -> Exchange {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config.json");
+    let state = folder.to_str().expect("a plain path");
+    let environment = |name: &str| (name == "ROUTER_STATE").then(|| state.to_owned());
+    let mandate = config::read(Some(file.into()), &environment).unwrap_or_else(|fault| panic!("{}", fault.0));
+    let ledger = Ledger::open(folder, 1_000_000, 100, sailcart_store::Sync::None).expect("a ledger");
+    Exchange::new(mandate.terms, 1, mandate.names, ledger)
+}
+
+fn entries(numbers: std::ops::Range<u32>) -> Vec<Entry> {
+    let entry = |line: Written| Entry {
+        name: line.name,
+        address: line.address,
+        kind: "k".to_owned(),
+        destination: line.destination,
+        live: line.live,
+        rate: line.rate,
+    };
+    numbers.map(|number| entry(Written::new(number))).collect()
+}
+
+/// Whether a packet for a destination is turned away at once, as for one that is not known.
+fn unknown(exchange: &Exchange, destination: u64) -> bool {
+    let put = Put {
+        id: &format!("p{destination}"),
+        category: "notice",
+        customer: Some("acme"),
+        patience: Duration::from_secs(8),
+        mark: None,
+        destination,
+        about: None,
+        body: b"hello",
+    };
+    exchange.take(&put).try_recv() == Ok(Answer::Unknown("destination"))
+}
+
+#[test]
+fn a_large_list_is_told_in_slices_with_yields_and_counts_as_told_at_its_end() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let exchange = exchange(folder.path());
+    let mut staged = exchange.stage(100_000);
+    exchange.add(&mut staged, entries(0..10_000)).expect("room");
+    assert!(!exchange.lists(EndpointId(0)), "nothing counts yet");
+    let mut commit = pin!(exchange.commit(staged, true));
+    let mut context = Context::from_waker(Waker::noop());
+    let mut yields = 0;
+    while commit.as_mut().poll(&mut context) == Poll::Pending {
+        yields += 1;
+        assert!(!unknown(&exchange, 1_000_000 + yields), "not told yet, so nothing is unknown");
+    }
+    assert_eq!(yields, 9, "ten chunks");
+    assert!(exchange.lists(EndpointId(9_999)) && !exchange.lists(EndpointId(10_000)));
+    assert!(unknown(&exchange, 2_000_000) && !unknown(&exchange, 1));
+
+    let mut small = exchange.stage(100_000);
+    exchange.add(&mut small, entries(10_000..12_000)).expect("room");
+    let mut commit = pin!(exchange.commit(small, false));
+    assert_eq!(commit.as_mut().poll(&mut context), Poll::Ready(()), "at once");
+    assert!(exchange.lists(EndpointId(11_999)));
+}
+
+#[test]
+fn a_list_dropped_or_refused_half_way_leaves_what_was_told() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let exchange = exchange(folder.path());
+    let mut context = Context::from_waker(Waker::noop());
+    let mut staged = exchange.stage(10);
+    exchange.add(&mut staged, entries(0..8)).expect("room");
+    assert!(pin!(exchange.commit(staged, true)).poll(&mut context).is_ready());
+
+    let mut dropped = exchange.stage(10);
+    exchange.add(&mut dropped, entries(7..9)).expect("room");
+    drop(dropped);
+    let mut large = exchange.stage(10);
+    let refused = exchange.add(&mut large, entries(0..11));
+    assert_eq!(refused, Err(ListTooLarge { most: 10 }));
+    drop(large);
+    let mut beside = exchange.stage(10);
+    exchange.add(&mut beside, entries(8..11)).expect("three");
+    assert_eq!(exchange.fits(&beside, false), Err(ListTooLarge { most: 10 }));
+    assert!(pin!(exchange.commit(beside, false)).poll(&mut context).is_ready());
+    let listed: Vec<u32> = (0..20).filter(|id| exchange.lists(EndpointId(*id))).collect();
+    assert_eq!(listed, (0..8).collect::<Vec<_>>());
+    assert!(unknown(&exchange, 8) && !unknown(&exchange, 7));
+}
