--- a/crates/sailcart-sender/src/exchange.rs
+++ b/crates/sailcart-sender/src/exchange.rs
@@ -98,6 +98,18 @@
 /// A destination that was not listed for so long is not known any more.
 const FORGOTTEN: Duration = Duration::from_secs(3600);
 
+/// A list that is being read. Nothing of it counts until it is committed.
+pub struct StagedList {
+    most: usize,
+    entries: Vec<Entry>,
+    /// Where each name's entry stands among the entries: the last one told of a name counts.
+    places: HashMap<String, usize>,
+}
+
+/// The list names more endpoints than there is room for.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ListTooLarge;
+
 pub struct Exchange {
     within: RefCell<Within>,
     /// Something came in: a round is due.
@@ -205,6 +217,31 @@
         self.within.borrow_mut().desk.told = true;
     }
 
+    /// Begins to stage a list of at most so many endpoints (live entries held after it would be in force).
+    pub fn stage(&self, most: usize) -> StagedList {
+        StagedList { most, entries: Vec::new(), places: HashMap::new() }
+    }
+
+    /// Adds entries as read.
+    pub fn add(&self, staged: &mut StagedList, entries: Vec<Entry>) -> Result<(), ListTooLarge> {
+        for entry in entries {
+            if let Some(place) = staged.places.get(&entry.name) {
+                staged.entries[*place] = entry;
+            } else if staged.entries.len() < staged.most {
+                staged.places.insert(entry.name.clone(), staged.entries.len());
+                staged.entries.push(entry);
+            } else {
+                return Err(ListTooLarge);
+            }
+        }
+        Ok(())
+    }
+
+    /// Puts it in force: `whole` replaces all that was told before.
+    pub async fn commit(&self, staged: StagedList, whole: bool) {
+        self.list(&List { version: 0, whole, entries: staged.entries });
+    }
+
     /// Whether an endpoint is still listed, and live.
     pub fn lists(&self, endpoint: EndpointId) -> bool {
         self.within.borrow().desk.places.contains_key(&endpoint)
