Discovery: the list is read by a push reader, in bounded memory

The whole body was parsed into a tree of values at once: for 440,000 entries, 72 MB, a long stretch on the one thread and several times that in memory. wire/json.rs checks the grammar of a document that comes in pieces, of bounded depth; wire/list_reader.rs cuts the entries out of it, 4 KB each at most, and hands them on as typed values. The push parsers at hand keep each string whole, of any length, so none is used.

--- a/crates/sailcart-sender/src/wire/discovery.rs
+++ b/crates/sailcart-sender/src/wire/discovery.rs
@@ -6,9 +6,14 @@
 use sailcart_terms::{Fault, member, take_number, take_text};
 use serde_json::Value;
 
+use super::list_reader::{ListReader, Summary};
+
 /// A list's bytes at most.
 pub const MOST_LIST: usize = 4 * 1024 * 1024;
 
+/// The rate of an entry that tells none.
+pub const NO_WEIGHT: f64 = 1.0;
+
 #[derive(Debug)]
 pub struct List {
     pub version: u64,
@@ -34,10 +39,15 @@
 
 pub const WHOLE: &str = "/v1/servers";
 
+/// Reads a list of which all bytes are at hand.
 pub fn read(body: &[u8]) -> Result<List, Fault> {
-    list(&serde_json::from_slice(body).map_err(|e| format!("expected JSON: {e}"))?)
+    let mut reader = ListReader::default();
+    let entries = reader.push(body)?;
+    let Summary { version, whole, .. } = reader.finish()?;
+    Ok(List { version, whole, entries })
 }
 
+/// The list as last known, out of a configuration.
 pub fn list(value: &Value) -> Result<List, Fault> {
     let entries = member(value, "instances")?.as_array().ok_or("expected an array in instances")?;
     Ok(List {
@@ -52,19 +62,24 @@
     entry(value).inspect_err(|fault| log::warn!("discovery: code=entry {}: {value}", fault.0)).ok()
 }
 
-fn entry(value: &Value) -> Result<Entry, Fault> {
+/// One entry; says what is wrong with one that cannot be read.
+pub fn entry(value: &Value) -> Result<Entry, Fault> {
     let address = take_text(member(value, "hostPort")?, "hostPort")?;
     Ok(Entry {
         name: take_text(member(value, "instanceId")?, "instanceId")?.to_owned(),
         address: address.parse().map_err(|_| format!("expected an address in hostPort, not {address}"))?,
         kind: take_text(member(value, "machineType")?, "machineType")?.to_owned(),
         destination: whole(value, "cell")?,
-        // Terminating, Gone, and whatever else is not ready for more.
-        live: take_text(member(value, "lifecycle")?, "lifecycle")? == "Ready",
-        rate: value.get("weight").map_or(Ok(1.0), |weight| take_number(weight, "weight"))?,
+        live: takes_calls(take_text(member(value, "lifecycle")?, "lifecycle")?),
+        rate: value.get("weight").map_or(Ok(NO_WEIGHT), |weight| take_number(weight, "weight"))?,
     })
 }
 
+/// Terminating, Gone, and whatever else is not ready for more takes none.
+pub fn takes_calls(lifecycle: &str) -> bool {
+    lifecycle == "Ready"
+}
+
 fn whole(value: &Value, key: &str) -> Result<u64, Fault> {
     member(value, key)?.as_u64().ok_or_else(|| format!("expected a whole number in {key}").into())
 }
--- a/crates/sailcart-sender/src/wire/mod.rs
+++ b/crates/sailcart-sender/src/wire/mod.rs
@@ -3,6 +3,8 @@
 pub mod call;
 pub mod discovery;
 pub mod http;
+pub mod json;
+pub mod list_reader;
 pub mod notice;
 pub mod resp;
 
