Discovery: a list is taken as it comes, and one that is too large is refused

A list over 4 MB was refused, and the whole asked for again three times a second, for ever: at 440,000 endpoints, 72 MB, a sender would know none. Now a body is handed on in pieces of 64 KiB (caller.rs), with a yield after each; the list is staged as it is read and counts once all of it came. A large list has a second more for each 4 MB that came, so an endless or dribbling one still ends. What a list may bring is worked out from memory_mb: 3/8 of it at 160 bytes an endpoint (450,000 for 192 MB), and 4096 bytes for each of these. A larger one is refused (code=list_too_large), the last good one stays, and it is asked for again after 1 s to a minute, doubling, by chance; changes after the last good list are heard meanwhile where it was the whole that was too large. The line of a list in the log now comes once it is in force.

--- a/crates/sailcart-sender/src/config/mod.rs
+++ b/crates/sailcart-sender/src/config/mod.rs
@@ -52,6 +52,8 @@
     pub journal: u64,
     /// Packets remembered once they are over.
     pub ended: usize,
+    /// Endpoints that discovery's list may bring. A list of more is refused.
+    pub listed: usize,
     /// When the journal must outlive the machine's power.
     pub sync: Sync,
 }
@@ -63,6 +65,11 @@
 /// Bytes for an id that is remembered, and what stands around it.
 const LONG_ID: f64 = 128.0;
 
+/// Share of the memory for the endpoints that are listed.
+const LISTED_SHARE: f64 = 3.0 / 8.0;
+/// Bytes for an endpoint that is listed, in all of the process.
+const LISTED_COST: f64 = 160.0;
+
 /// Where a value may come from beside the file.
 pub type Environment<'a> = &'a dyn Fn(&str) -> Option<String>;
 
@@ -195,6 +202,7 @@
         // Files are counted as memory.
         journal: disk.min(memory / 4.0) as u64,
         ended: (memory / 64.0 / LONG_ID) as usize,
+        listed: (memory * LISTED_SHARE / LISTED_COST) as usize,
         sync: sync(limits.and_then(|limits| limits.get("sync")))?,
     })
 }
@@ -212,7 +220,7 @@
 /// How a configuration was understood, for a person.
 pub fn summary(mandate: &Mandate) -> String {
     let Mandate { name, listen, source, state, terms, bounds, known, .. } = mandate;
-    let Bounds { clients, idle, journal, .. } = bounds;
+    let Bounds { clients, idle, journal, listed, .. } = bounds;
     let source = match source {
         Source::Platform(discovery) => format!("discovery at {discovery}"),
         Source::Static => "destinations as listed".to_owned(),
@@ -220,7 +228,8 @@
     format!(
         "{name}: listens on {listen}, {source}, state in {}\n\
          {} slots, {} packets held, {} categories, {} kinds, {} endpoints known\n\
-         {clients} client connections, {idle} idle connections to endpoints, {journal} bytes of journal at most",
+         {clients} client connections, {idle} idle connections to endpoints, {journal} bytes of journal at most\n\
+         {listed} endpoints listed by discovery at most",
         state.display(),
         terms.slots,
         terms.hold,
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -50,7 +50,9 @@
             let (moves, place) = watch::channel(discovery);
             let (heard, first) = oneshot::channel();
             let (version, rhythm) = (known.version, Rhythm::new(asked, mandate.seed));
-            spawn_local(platform::follow(place.clone(), version, rhythm, heard, exchange.clone()));
+            let follower =
+                platform::Follower::new(place.clone(), version, rhythm, bounds.listed, exchange.clone());
+            spawn_local(follower.follow(heard));
             spawn_local(platform::notify(place, exchange.clone()));
             if asked.is_none() {
                 // What an agent has counts as told from the first moment on: the list of the life before may name endpoints
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform.rs
@@ -1,22 +1,28 @@
 //! The platform's side: discovery is watched without gaps, and notices are told until they are acknowledged.
 
+use std::fmt::{self, Display};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use sailcart::PacketId;
+use sailcart_terms::Fault;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::caller::{self, Reply};
-use crate::exchange::Exchange;
+use crate::caller::{self, Reply, Sink, Term, TooLarge};
+use crate::exchange::{Exchange, ListTooLarge, StagedList};
 use crate::memory::Notice;
 use crate::rhythm::{self, Failure, Rhythm};
+use crate::wire::http::Head;
+use crate::wire::list_reader::{ListReader, MOST_ENTRY, Summary};
 use crate::wire::{MOST_BODY, discovery, http, notice};
 
+/// A list that comes more slowly is given up, in bytes a second.
+const LEAST_RATE: u32 = 4_000_000;
 /// How long what was not taken is kept before it is told again.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -38,15 +44,15 @@
 
     /// One call and its answer. Guards against waiting at an address that has been left: what is out there ends
     /// at once, as interrupted, and the next call goes to the new one.
-    async fn call(&mut self, bytes: &[u8], within: Duration, most: usize) -> io::Result<Reply> {
+    async fn call<S: Sink>(&mut self, bytes: &[u8], limits: Limits, sink: &mut S) -> Result<Reply, S::Fault> {
         let (mut place, left) = (self.place.clone(), self.address());
         tokio::select! {
             biased;
             Ok(()) = place.changed() => {
                 self.leave(left);
-                Err(io::ErrorKind::Interrupted.into())
+                Err(io::Error::from(io::ErrorKind::Interrupted).into())
             }
-            reply = self.turn(bytes, within, most) => reply,
+            reply = self.turn(bytes, limits, sink) => reply,
         }
     }
 
@@ -68,19 +74,11 @@
     }
 
     /// One call and its answer within a time, its connection included. One on which it did not come whole is closed.
-    async fn turn(&mut self, bytes: &[u8], within: Duration, most: usize) -> io::Result<Reply> {
-        let mut reply = Reply::default();
-        let (kept, address, connect) = (self.stream.take(), self.address(), self.connect);
-        let turn = async {
-            let mut stream = match kept {
-                Some(stream) => stream,
-                None => timeout(connect, TcpStream::connect(address)).await??,
-            };
-            stream.set_nodelay(true)?;
-            stream.write_all(bytes).await?;
-            caller::read(&mut stream, most, within, &mut reply).await.map(|()| stream)
-        };
-        let stream = timeout(within, turn).await??;
+    async fn turn<S: Sink>(&mut self, bytes: &[u8], limits: Limits, sink: &mut S) -> Result<Reply, S::Fault> {
+        let Limits { within, least_rate, most } = limits;
+        let term = Term { start: Instant::now(), within, least_rate };
+        let mut stream = timeout(within, self.say(bytes)).await.map_err(io::Error::from)??;
+        let reply = caller::hand_on(&mut stream, most, term, sink).await?;
         if reply.keeps() {
             self.stream = Some(stream);
         } else {
@@ -88,79 +86,296 @@
         }
         Ok(reply)
     }
+
+    /// The connection on which the call has gone out.
+    async fn say(&mut self, bytes: &[u8]) -> io::Result<TcpStream> {
+        let (kept, address) = (self.stream.take(), self.address());
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => timeout(self.connect, TcpStream::connect(address)).await??,
+        };
+        stream.set_nodelay(true)?;
+        stream.write_all(bytes).await?;
+        Ok(stream)
+    }
 }
 
-/// Follows the destination list from a version on. One that moved may count otherwise: its whole list is read. `heard` is told
-/// when the first call has come to its end, with a list or without.
-pub async fn follow(
-    place: Place,
-    version: u64,
-    mut rhythm: Rhythm,
-    heard: oneshot::Sender<()>,
+/// What an answer may take.
+#[derive(Clone, Copy)]
+struct Limits {
+    /// From the call's first moment on.
+    within: Duration,
+    /// As in [`Term`].
+    least_rate: Option<u32>,
+    /// Bytes of its body at most.
+    most: usize,
+}
+
+/// Why a call brought no list that counts.
+#[derive(Debug)]
+enum NoList {
+    /// Discovery is elsewhere now.
+    Moved,
+    /// No connection, or one that broke, or an answer that took too long.
+    Lost(io::Error),
+    /// An answer with another status: discovery has too much to do.
+    TurnedAway(u16),
+    /// A list that cannot be: it is not one, or of long ago.
+    Spoilt(String),
+    /// More endpoints or bytes than there is room for.
+    TooLarge,
+}
+
+impl From<io::Error> for NoList {
+    fn from(fault: io::Error) -> Self {
+        match fault.kind() {
+            io::ErrorKind::Interrupted => NoList::Moved,
+            io::ErrorKind::InvalidData => NoList::Spoilt(fault.to_string()),
+            _ => NoList::Lost(fault),
+        }
+    }
+}
+
+impl From<TooLarge> for NoList {
+    fn from(_: TooLarge) -> Self {
+        NoList::TooLarge
+    }
+}
+
+impl From<ListTooLarge> for NoList {
+    fn from(_: ListTooLarge) -> Self {
+        NoList::TooLarge
+    }
+}
+
+impl From<Fault> for NoList {
+    fn from(fault: Fault) -> Self {
+        NoList::Spoilt(fault.0)
+    }
+}
+
+impl Display for NoList {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            NoList::Moved => write!(to, "discovery has moved"),
+            NoList::Lost(fault) => write!(to, "{fault}"),
+            NoList::TurnedAway(status) => write!(to, "answer {status}"),
+            NoList::Spoilt(words) => write!(to, "{words}"),
+            NoList::TooLarge => write!(to, "the list is too large"),
+        }
+    }
+}
+
+/// Reads a list as it comes and stages what it tells.
+struct Intake<'a> {
+    exchange: &'a Exchange,
+    reader: ListReader,
+    staged: StagedList,
+    /// Bytes of an answer that is no list.
+    other: usize,
+}
+
+impl Sink for Intake<'_> {
+    type Fault = NoList;
+
+    fn take(&mut self, head: &Head, piece: &[u8]) -> Result<(), NoList> {
+        if head.status != 200 {
+            self.other += piece.len();
+            return if self.other > MOST_BODY { Err(NoList::TurnedAway(head.status)) } else { Ok(()) };
+        }
+        let entries = self.reader.push(piece)?;
+        Ok(self.exchange.add(&mut self.staged, entries)?)
+    }
+}
+
+/// The body of an answer that nobody reads.
+struct Unread;
+
+impl Sink for Unread {
+    type Fault = io::Error;
+
+    fn take(&mut self, _: &Head, _: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Follows the destination list.
+///
+/// A list is read as it comes, and others on this thread have their turn after each [`caller::PIECE`] of it. Nothing of it
+/// counts until all of it has come and can be. A call has the time of its rhythm, and a large list more in step with the
+/// bytes that came ([`LEAST_RATE`]). For `n` endpoints a list has `n` times [`MOST_ENTRY`] bytes at most, so it is over, good
+/// or given up, in the time of its call (0.75 s with an agent, 2.25 s without; for a watch its wait as well) and `n` times
+/// 1.024 ms: 461 s for the 450,000 endpoints of 192 MB. With entries of 165 bytes, as they mostly are, it is over in 19 s.
+/// This holds while this thread reads as fast as bytes come; bytes that wait here are read, however late.
+///
+/// A list that is too large is refused: the last good one stays in force, and what was too large is asked for again after
+/// pauses that grow to a minute. Where it was the whole list (as asked for after one that was spoilt), the watch from the last
+/// good version goes on meanwhile at its own pace, so changes that follow that version are still heard in the ordinary term.
+/// Where the answer to the watch itself was too large, nothing can be heard without reading it anew, so nothing is promised
+/// of changes before the pause is over.
+pub struct Follower {
+    wire: Wire,
+    rhythm: Rhythm,
+    /// Endpoints that a list may bring.
+    listed: usize,
     exchange: Rc<Exchange>,
-) {
-    let mut wire = Wire { place, stream: None, connect: rhythm.call() };
-    let mut version = Some(version);
-    let mut heard = Some(heard);
-    let mut told = None; // one line for an outage, not one for each try
-    loop {
-        let (hold, within) = rhythm.watch();
-        let (path, within) = match version {
-            Some(version) => (discovery::watch(version, hold), within),
-            None => (discovery::WHOLE.to_owned(), rhythm.call()),
-        };
-        let call = http::get(&wire.address().to_string(), &path);
-        let reply = wire.call(&call, within, discovery::MOST_LIST).await.and_then(understand);
-        let came = reply.and_then(|list| no_older(list, version));
-        let fault = match came {
-            Ok(list) => {
-                if list.whole || !list.entries.is_empty() {
-                    log::info!("discovery: version {}, {} entries", list.version, list.entries.len());
-                }
-                // Also when nothing changed: what left the list long ago is forgotten on such news.
-                exchange.list(&list);
-                (version, told) = (Some(list.version), None);
-                rhythm.over();
-                None
+    /// From which version on the next call watches; without one it asks for the whole list.
+    from: Option<u64>,
+    /// The version in force, where this discovery told it.
+    good: Option<u64>,
+    /// When the whole list, which was too large, is asked for again.
+    whole_at: Option<Instant>,
+    /// What the last line of the log told of: one for an outage, not one for each try.
+    told: Option<io::ErrorKind>,
+    /// The log has told of a list that is too large, and it still is.
+    told_too_large: bool,
+}
+
+impl Follower {
+    /// Begins after a version. `listed` is how many endpoints a list may bring.
+    pub fn new(place: Place, version: u64, rhythm: Rhythm, listed: usize, exchange: Rc<Exchange>) -> Self {
+        Follower {
+            wire: Wire { place, stream: None, connect: rhythm.call() },
+            rhythm,
+            listed,
+            exchange,
+            from: Some(version),
+            good: Some(version),
+            whole_at: None,
+            told: None,
+            told_too_large: false,
+        }
+    }
+
+    /// Asks again and again. `heard` is told when the first call has come to its end, with a list or without.
+    pub async fn follow(mut self, heard: oneshot::Sender<()>) {
+        let mut heard = Some(heard);
+        loop {
+            if self.whole_at.is_some_and(|at| at <= Instant::now()) {
+                self.from = None;
             }
-            Err(fault) => Some(fault),
-        };
-        heard.take().map(|heard| heard.send(()));
-        let Some(fault) = fault else { continue };
-        if fault.kind() == io::ErrorKind::Interrupted {
-            version = None;
-            continue;
+            let fault = self.ask().await.err();
+            heard.take().map(|heard| heard.send(()));
+            if let Some(fault) = fault {
+                self.fail(fault).await;
+            }
+        }
+    }
+
+    /// One call; a list that it brings is in force then.
+    async fn ask(&mut self) -> Result<(), NoList> {
+        let (path, within) = self.call();
+        let call = http::get(&self.wire.address().to_string(), &path);
+        let most = self.listed.saturating_mul(MOST_ENTRY);
+        let limits = Limits { within, least_rate: Some(LEAST_RATE), most };
+        let exchange = self.exchange.clone();
+        let staged = exchange.stage(self.listed);
+        let mut intake = Intake { exchange: &exchange, reader: ListReader::default(), staged, other: 0 };
+        let reply = self.wire.call(&call, limits, &mut intake).await?;
+        let status = reply.head.map_or(0, |head| head.status);
+        if status != 200 {
+            return Err(NoList::TurnedAway(status));
+        }
+        let list = intake.reader.finish()?;
+        no_older(&list, self.from)?;
+        // Also when nothing changed: what left the list long ago is forgotten on such news.
+        exchange.commit(intake.staged, list.whole).await;
+        if list.whole || list.read > 0 {
+            log::info!("discovery: version {}, {} entries", list.version, list.read);
+        }
+        self.is_in_force(&list);
+        Ok(())
+    }
+
+    /// What the next call asks for, and how long its answer is waited for.
+    fn call(&self) -> (String, Duration) {
+        let Some(from) = self.from else { return (discovery::WHOLE.to_owned(), self.rhythm.call()) };
+        let (hold, within) = self.rhythm.watch();
+        let left = self.whole_at.map(|at| at.saturating_duration_since(Instant::now()));
+        let shorter = left.map_or(hold, |left| left.min(hold));
+        (discovery::watch(from, shorter), within - (hold - shorter))
+    }
+
+    fn is_in_force(&mut self, list: &Summary) {
+        let asked_whole = self.from.is_none();
+        self.good = Some(list.version);
+        self.from = self.good;
+        self.told = None;
+        self.rhythm.over();
+        if self.whole_at.is_none() || list.whole || asked_whole {
+            self.whole_at = None;
+            self.told_too_large = false;
+            self.rhythm.fits();
         }
-        if told.replace(fault.kind()) != Some(fault.kind()) {
+    }
+
+    /// Sees to what is asked next after a call without a list, and when.
+    async fn fail(&mut self, fault: NoList) {
+        match fault {
+            NoList::Moved => self.forget(),
+            NoList::TooLarge => self.refuse().await,
+            NoList::Lost(_) => self.rest(&fault, Failure::Lost).await,
+            NoList::TurnedAway(_) => self.rest(&fault, Failure::TurnedAway).await,
+            NoList::Spoilt(_) => {
+                // It counts for nothing: the whole is asked for, unless that is known to be too large.
+                self.from = self.good.filter(|_| self.whole_at.is_some());
+                self.rest(&fault, Failure::Lost).await;
+            }
+        }
+    }
+
+    async fn rest(&mut self, fault: &NoList, failure: Failure) {
+        let kind = match fault {
+            NoList::Lost(fault) => fault.kind(),
+            NoList::Spoilt(_) => io::ErrorKind::InvalidData,
+            _ => io::ErrorKind::Other,
+        };
+        if self.told.replace(kind) != Some(kind) {
             log::warn!("discovery: code=no_list {fault}");
         }
-        // An answer without a list comes from a discovery that has too much to do.
-        let turned_away = fault.kind() == io::ErrorKind::Other;
-        let pause = rhythm.pause(if turned_away { Failure::TurnedAway } else { Failure::Lost });
-        // A list that cannot be, or discovery elsewhere, counts for nothing: the whole is asked for.
-        if wire.moves_within(pause).await || fault.kind() == io::ErrorKind::InvalidData {
-            version = None;
+        let pause = self.rhythm.pause(failure);
+        self.pause(pause).await;
+    }
+
+    async fn refuse(&mut self) {
+        let pause = self.rhythm.refused();
+        if !std::mem::replace(&mut self.told_too_large, true) {
+            let most = self.listed;
+            log::warn!(
+                "discovery: code=list_too_large more than {most} endpoints or {MOST_ENTRY} bytes for each"
+            );
+        }
+        log::debug!("discovery: what was too large is asked for again in {pause:?}");
+        if self.from.is_none() && self.good.is_some() {
+            self.from = self.good;
+            self.whole_at = Some(Instant::now() + pause);
+        } else {
+            self.pause(pause).await;
+        }
+    }
+
+    async fn pause(&mut self, pause: Duration) {
+        if self.wire.moves_within(pause).await {
+            self.forget();
         }
     }
-}
 
-fn understand(reply: Reply) -> io::Result<discovery::List> {
-    let status = reply.head.map_or(0, |head| head.status);
-    if status != 200 {
-        return Err(io::Error::other(format!("answer {status}")));
+    /// Discovery is elsewhere, and may count otherwise: its whole list is read.
+    fn forget(&mut self) {
+        self.from = None;
+        self.good = None;
+        self.whole_at = None;
     }
-    discovery::read(&reply.body).map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault.0))
 }
 
 /// Guards against a list of long ago, as of a discovery that fell behind. One that is so also when asked for the whole
 /// counts anew, and is taken.
-fn no_older(list: discovery::List, held: Option<u64>) -> io::Result<discovery::List> {
+fn no_older(list: &Summary, held: Option<u64>) -> Result<(), NoList> {
     match held {
         Some(held) if list.version < held => {
-            let words = format!("version {}, older than {held}", list.version);
-            Err(io::Error::new(io::ErrorKind::InvalidData, words))
+            Err(NoList::Spoilt(format!("version {}, older than {held}", list.version)))
         }
-        _ => Ok(list),
+        _ => Ok(()),
     }
 }
 
@@ -176,7 +391,8 @@
             continue;
         }
         let call = http::post(&wire.address().to_string(), notice::PATH, "", body.as_bytes());
-        let reply = wire.call(&call, rhythm::notice(lost), MOST_BODY).await;
+        let limits = Limits { within: rhythm::notice(lost), least_rate: None, most: MOST_BODY };
+        let reply = wire.call(&call, limits, &mut Unread).await;
         lost = if reply.is_ok() { 0 } else { lost + 1 };
         match reply.map(|reply| reply.head.map_or(0, |head| head.status)) {
             Ok(204) => {
--- a/crates/sailcart-sender/src/rhythm.rs
+++ b/crates/sailcart-sender/src/rhythm.rs
@@ -14,6 +14,10 @@
 const LEAST: Duration = Duration::from_millis(50);
 /// A notice that is owed at the end of a packet's time is late 300 ms after it: its call is made again before that.
 const NOTICE: Duration = Duration::from_millis(250);
+/// The least pause before a list that was too large is asked for again; the row begins with a span of twice as much.
+const LEAST_REFUSED: Duration = Duration::from_secs(1);
+/// The longest pause before a list that was too large is asked for again.
+const MOST_REFUSED: Duration = Duration::from_secs(60);
 /// How long the answer to a wait that is over may take.
 const OVERDUE: Duration = Duration::from_secs(1);
 
@@ -37,6 +41,8 @@
     /// The longest pause after a call that was lost, and after one that was turned away.
     most: (Duration, Duration),
     pauses: Pauses,
+    /// Of lists that were too large: a row of its own, as it goes on beside calls that bring changes.
+    refusals: Pauses,
     /// The next call is to be answered at once.
     at_once: bool,
 }
@@ -50,7 +56,10 @@
             Some(within) => (within * 2, TOLD * 3 / 8, OVERDUE, (TOLD / 6, TOLD * 7 / 8)),
             None => (TOLD * 5 / 12, TOLD / 8, TOLD / 8, (TOLD / 16, TOLD / 2)),
         };
-        Rhythm { hold, call, overdue, most, pauses: Pauses::new(seed, LEAST), at_once: asked.is_none() }
+        let pauses = Pauses::new(seed, LEAST);
+        // Other draws than those of the pauses.
+        let refusals = Pauses::new(!seed, LEAST_REFUSED);
+        Rhythm { hold, call, overdue, most, pauses, refusals, at_once: asked.is_none() }
     }
 
     /// How long the next call for the list is to wait at discovery, and how long it is waited for: one after a failure, and the
@@ -73,7 +82,18 @@
         }
     }
 
-    /// A list came.
+    /// The pause before a list that was too large is asked for again. Nothing is promised of such a list, and to read it costs
+    /// time: so this is the one pause that may outlast [`TOLD`].
+    pub fn refused(&mut self) -> Duration {
+        self.refusals.next(LEAST_REFUSED * 2, MOST_REFUSED)
+    }
+
+    /// What was too large is no longer: the next such list is the first of its row.
+    pub fn fits(&mut self) {
+        self.refusals.over();
+    }
+
+    /// A list is in force.
     pub fn over(&mut self) {
         self.at_once = false;
         self.pauses.over();
--- a/crates/sailcart-sender/src/wire/discovery.rs
+++ b/crates/sailcart-sender/src/wire/discovery.rs
@@ -8,9 +8,6 @@
 
 use super::list_reader::{ListReader, Summary};
 
-/// A list's bytes at most.
-pub const MOST_LIST: usize = 4 * 1024 * 1024;
-
 /// The rate of an entry that tells none.
 pub const NO_WEIGHT: f64 = 1.0;
 
--- a/crates/sailcart-sender/src/wire/mod.rs
+++ b/crates/sailcart-sender/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken on the wire: bytes read into values, values written as bytes. No sockets, no state.
 
 pub mod call;
+pub mod chunked;
 pub mod discovery;
 pub mod http;
 pub mod json;
--- /dev/null
+++ b/crates/sailcart-sender/tests/refusals.rs
@@ -0,0 +1,51 @@
+//! When a list that was too large is asked for again, and how long a large list may take. Pure.
+
+use std::time::Duration;
+
+use sailcart_sender::caller::{PIECE, Term};
+use sailcart_sender::rhythm::{Failure, Rhythm};
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn refusals_are_a_row_of_their_own_that_doubles_from_a_second_to_a_minute() {
+    for seed in 0..200 {
+        let mut rhythm = Rhythm::new(None, seed);
+        let mut span = 2 * SECOND;
+        for nth in 0..12 {
+            // Changes that come meanwhile, and calls that are lost, do not shorten it.
+            rhythm.over();
+            rhythm.pause(Failure::Lost);
+            let pause = rhythm.refused();
+            assert!((SECOND..=span).contains(&pause), "pause {nth} of seed {seed}: {pause:?} of {span:?}");
+            span = (span * 2).min(60 * SECOND);
+        }
+        rhythm.fits();
+        assert!(rhythm.refused() <= 2 * SECOND, "the first of another row");
+    }
+}
+
+/// Senders that were refused together do not come again together.
+#[test]
+fn refusals_are_drawn_from_the_whole_of_their_span() {
+    let mut fourth: Vec<Duration> = (0..200)
+        .map(|seed| {
+            let mut rhythm = Rhythm::new(None, seed);
+            [(); 4].map(|()| rhythm.refused())[3]
+        })
+        .collect();
+    fourth.sort();
+    assert!(fourth[20] < 4 * SECOND && fourth[180] > 13 * SECOND, "{fourth:?}");
+}
+
+#[test]
+fn a_large_list_has_more_time_in_step_with_its_bytes() {
+    let start = Instant::now();
+    let term = Term { start, within: SECOND, least_rate: Some(4_000_000) };
+    let end = |came: usize| term.end(came) - start;
+    assert_eq!((end(0), end(PIECE)), (SECOND, SECOND), "a small one has the time of the call");
+    assert_eq!(end(PIECE + 4_000_000), 2 * SECOND);
+    let fixed = Term { least_rate: None, ..term };
+    assert_eq!(fixed.end(1 << 40) - start, SECOND);
+}
