Laboratory: long functions in named steps, what both modes do alike stands once

The longest functions of receivers, baselines, watcher, checks, discovery, clients and endpoints are cut into steps with names. Choosing a sender by key, describing a packet handed in and what a receiver sees of one stood once for simulated time and once for sockets; each stands once now. Behaviour is unchanged.

--- a/crates/sailcart-lab/src/experiment/check.rs
+++ b/crates/sailcart-lab/src/experiment/check.rs
@@ -29,8 +29,27 @@
     }
 }
 
+/// # Errors
+/// The first value that does not hold, by its key.
 pub fn check(experiment: &Experiment) -> Result<(), Fault> {
-    let some = |holds: bool, key: &str| if holds { Ok(()) } else { fault(key, "expected more than 0") };
+    check_amounts(experiment)?;
+    check_categories(experiment)?;
+    check_destinations(experiment)?;
+    for (at, trouble) in experiment.troubles.iter().enumerate() {
+        check_trouble(experiment, trouble, &format!("troubles.{at}"))?;
+    }
+    begins(experiment)?;
+    for bound in &experiment.bounds {
+        bounds::Bound::read(bound).map_err(|words| Fault(format!("bounds: {words}")))?;
+    }
+    Ok(())
+}
+
+fn some(holds: bool, key: &str) -> Result<(), Fault> {
+    if holds { Ok(()) } else { fault(key, "expected more than 0") }
+}
+
+fn check_amounts(experiment: &Experiment) -> Result<(), Fault> {
     some(!experiment.span.is_zero(), "span")?;
     some(experiment.senders.count > 0, "senders.count")?;
     some(experiment.senders.slots > 0, "senders.slots")?;
@@ -43,7 +62,10 @@
     some(!experiment.rules.cold.is_zero(), "rules.cold")?;
     some(!experiment.rules.fall.is_zero(), "rules.fall")?;
     share(experiment.load.clumped, "load.clumped")?;
-    share(experiment.rules.cold_from, "rules.cold_from")?;
+    share(experiment.rules.cold_from, "rules.cold_from")
+}
+
+fn check_categories(experiment: &Experiment) -> Result<(), Fault> {
     for (at, category) in experiment.categories.iter().enumerate() {
         let key = |name: &str| format!("categories.{at}.{name}");
         some(!category.soft_limit.is_zero(), &key("soft_limit"))?;
@@ -54,6 +76,10 @@
             return fault(&key("memory"), "expected with repeat = \"deduplicated\", and only there");
         }
     }
+    Ok(())
+}
+
+fn check_destinations(experiment: &Experiment) -> Result<(), Fault> {
     for (at, group) in experiment.destinations.iter().enumerate() {
         let key = |name: &str| format!("destinations.{at}.{name}");
         if !experiment.kinds.iter().any(|kind| kind.name == group.kind) {
@@ -67,13 +93,6 @@
         some(group.limit.by == LimitBy::None || group.limit.rate > 0.0, &key("limit.rate"))?;
         some(!group.limit.span.is_zero(), &key("limit.span"))?;
     }
-    for (at, trouble) in experiment.troubles.iter().enumerate() {
-        check_trouble(experiment, trouble, &format!("troubles.{at}"))?;
-    }
-    begins(experiment)?;
-    for bound in &experiment.bounds {
-        bounds::Bound::read(bound).map_err(|words| Fault(format!("bounds: {words}")))?;
-    }
     Ok(())
 }
 
@@ -109,16 +128,21 @@
     if trouble.senders.iter().flatten().any(|at| *at >= experiment.senders.count) {
         return fault(&key("senders"), "expected numbers below senders.count");
     }
-    if let Some(target) = &trouble.destinations {
-        let (name, number) = target.split_once('/').map_or((target.as_str(), None), |(n, i)| (n, Some(i)));
-        let group = experiment.destinations.iter().find(|group| group.name == name);
-        let Some(group) = group else {
-            return fault(&key("destinations"), &format!("no group {name}"));
-        };
-        let within = |number: &str| number.parse::<usize>().is_ok_and(|number| number < group.count);
-        if !number.is_none_or(within) {
-            return fault(&key("destinations"), &format!("no destination {target}"));
-        }
+    match &trouble.destinations {
+        Some(target) => check_target(experiment, target, &key("destinations")),
+        None => Ok(()),
+    }
+}
+
+/// A group, or one destination of it by its number.
+fn check_target(experiment: &Experiment, target: &str, key: &str) -> Result<(), Fault> {
+    let (name, number) = target.split_once('/').map_or((target, None), |(n, i)| (n, Some(i)));
+    let Some(group) = experiment.destinations.iter().find(|group| group.name == name) else {
+        return fault(key, &format!("no group {name}"));
+    };
+    let within = |number: &str| number.parse::<usize>().is_ok_and(|number| number < group.count);
+    if !number.is_none_or(within) {
+        return fault(key, &format!("no destination {target}"));
     }
     Ok(())
 }
--- a/crates/sailcart-lab/src/experiment/mod.rs
+++ b/crates/sailcart-lab/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 //! key refused by name, checked once in [`check`], and turned into a [`crate::plan::Plan`] before anything runs.
 
 mod check;
+mod keys;
 mod read;
 
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use check::begins;
+pub use keys::choose_by_key;
 pub use read::{Fault, read, read_text};
 
 /// Where the senders run.
--- a/crates/sailcart-lab/src/policies/baseline.rs
+++ b/crates/sailcart-lab/src/policies/baseline.rs
@@ -45,6 +45,17 @@
     open_until: Duration,
 }
 
+impl Seen {
+    /// A call to it has come back; failures in a row open its breaker.
+    fn call_over(&mut self, now: Duration, outcome: Outcome) {
+        self.out = self.out.saturating_sub(1);
+        self.failures = if outcome == Outcome::Done { 0 } else { self.failures + 1 };
+        if self.failures >= BREAKER.0 {
+            (self.open_until, self.failures) = (now + BREAKER.1, BREAKER.0 - 1);
+        }
+    }
+}
+
 pub struct Baseline {
     name: PolicyName,
     terms: Terms,
@@ -143,6 +154,47 @@
         self.line = ranked.into_iter().map(|(_, _, id)| id).collect();
     }
 
+    /// After a call that may have run: a repeat is known for a time, and its key rests.
+    fn may_have_run(&mut self, now: Duration, packet: &Packet, elapsed: Duration) {
+        let memory = memory(self.terms.categories[packet.category.0].repeat);
+        let known = now.saturating_sub(elapsed).saturating_add(memory);
+        if let Some(kept) = self.packets.get_mut(&packet.id) {
+            kept.known_until = Some(kept.known_until.map_or(known, |before| before.min(known)));
+        }
+        if let Some((_, rests)) = packet.key.and_then(|key| self.turns.get_mut(&key)) {
+            *rests = now + self.terms.settle;
+        }
+    }
+
+    /// Nothing more goes out for a packet.
+    fn is_spent(&self, now: Duration, kept: &Kept) -> bool {
+        let repeat = self.terms.categories[kept.packet.category.0].repeat;
+        let unsure = kept.known_until.is_some() && repeat == Repeat::Unrepeatable;
+        let once = self.name == PolicyName::OneTry && kept.packet.dispatches > 0;
+        unsure || once || kept.packet.dispatches >= self.terms.dispatches || self.last_start(kept) <= now
+    }
+
+    /// How long a call may take; `lost` is when its answer is held for lost.
+    fn time_out(&self, now: Duration, packet: &Packet, lost: Option<Duration>) -> Duration {
+        let left = packet.ends.saturating_sub(now);
+        let category = self.terms.categories[packet.category.0];
+        let time_out = match category.repeat {
+            Repeat::Unrepeatable => left,
+            _ => left.min(category.patience / 3),
+        };
+        lost.map_or(time_out, |lost| time_out.min(lost))
+    }
+
+    /// A call with a packet goes out.
+    fn send(&mut self, id: PacketId, endpoint: EndpointId) {
+        if let Some(kept) = self.packets.get_mut(&id) {
+            kept.packet.dispatches += 1;
+            kept.state = State::Out(endpoint);
+        }
+        self.out += 1;
+        self.endpoints.entry(endpoint).or_default().out += 1;
+    }
+
     fn after(&mut self, now: Duration, dispatches: u32) -> Duration {
         match self.name {
             PolicyName::Backoff => {
@@ -155,6 +207,14 @@
     }
 }
 
+/// For how long a receiver knows a repeat as one.
+fn memory(repeat: Repeat) -> Duration {
+    match repeat {
+        Repeat::Deduplicated { memory } => memory,
+        _ => Duration::MAX,
+    }
+}
+
 impl Policy for Baseline {
     fn list(&mut self, _: Duration, whole: bool, lines: &[Listing]) {
         if whole {
@@ -174,11 +234,7 @@
         if let (true, Some(key)) = (category.in_order, packet.key) {
             self.turns.entry(key).or_default().0.push_back(packet.id);
         }
-        let memory = match category.repeat {
-            Repeat::Deduplicated { memory } => memory,
-            _ => Duration::MAX,
-        };
-        let known_until = packet.doubt.map(|doubt| doubt.saturating_add(memory));
+        let known_until = packet.doubt.map(|doubt| doubt.saturating_add(memory(category.repeat)));
         let id = packet.id;
         self.packets.insert(id, Kept { packet, state: State::Held, not_before: Duration::ZERO, known_until });
         self.line.push_back(id);
@@ -188,39 +244,23 @@
         let Some(kept) = self.packets.get_mut(&id) else { return };
         let State::Out(endpoint) = kept.state else { return };
         kept.state = State::Held;
+        let packet = kept.packet.clone();
         self.out = self.out.saturating_sub(1);
         if let Some(seen) = self.endpoints.get_mut(&endpoint) {
-            seen.out = seen.out.saturating_sub(1);
-            seen.failures = if outcome == Outcome::Done { 0 } else { seen.failures + 1 };
-            if seen.failures >= BREAKER.0 {
-                (seen.open_until, seen.failures) = (now + BREAKER.1, BREAKER.0 - 1);
-            }
+            seen.call_over(now, outcome);
         }
         if over || outcome == Outcome::Done {
-            let packet = kept.packet.clone();
             self.packets.remove(&id);
             return self.leave_turn(&packet);
         }
-        let unsure =
-            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-        if unsure {
-            let memory = match self.terms.categories[kept.packet.category.0].repeat {
-                Repeat::Deduplicated { memory } => memory,
-                _ => Duration::MAX,
-            };
-            let known = now.saturating_sub(elapsed).saturating_add(memory);
-            kept.known_until = Some(kept.known_until.map_or(known, |before| before.min(known)));
-            let turn = kept.packet.key.and_then(|key| self.turns.get_mut(&key));
-            if let Some((_, rests)) = turn {
-                *rests = now + self.terms.settle;
-            }
+        if matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            self.may_have_run(now, &packet, elapsed);
         }
-        let (dispatches, to) = (kept.packet.dispatches, kept.packet.destination);
         if let Outcome::Full(Some(wait)) = outcome {
-            let until = self.waits.entry(to).or_default();
+            let until = self.waits.entry(packet.destination).or_default();
             *until = (now + wait).max(*until);
         }
-        let again = self.after(now, dispatches);
+        let again = self.after(now, packet.dispatches);
         if let Some(kept) = self.packets.get_mut(&id) {
             kept.not_before = again;
         }
@@ -240,14 +280,11 @@
         }
         while let Some(id) = self.line.pop_front() {
             let Some(kept) = self.packets.get(&id).filter(|kept| kept.state == State::Held) else { continue };
-            let repeat = self.terms.categories[kept.packet.category.0].repeat;
-            let unsure = kept.known_until.is_some() && repeat == Repeat::Unrepeatable;
-            let once = self.name == PolicyName::OneTry && kept.packet.dispatches > 0;
-            let (packet, last, not_before) = (kept.packet.clone(), self.last_start(kept), kept.not_before);
-            if unsure || once || packet.dispatches >= self.terms.dispatches || last <= now {
+            if self.is_spent(now, kept) {
                 self.end(id, host);
                 continue;
             }
+            let (packet, last, not_before) = (kept.packet.clone(), self.last_start(kept), kept.not_before);
             let ready = not_before <= now && self.out < self.terms.slots && self.in_turn(now, &packet);
             let also = chosen.get(&packet.destination).copied().unwrap_or(0);
             let endpoint = if ready { self.pick(now, packet.destination, also, eyes) } else { None };
@@ -257,20 +294,9 @@
                 looked.push_back(id);
                 continue;
             };
-            let time_out = match repeat {
-                Repeat::Unrepeatable => packet.ends.saturating_sub(now),
-                _ => {
-                    packet.ends.saturating_sub(now).min(self.terms.categories[packet.category.0].patience / 3)
-                }
-            };
-            let time_out = lost.map_or(time_out, |lost| time_out.min(lost));
-            if let Some(kept) = self.packets.get_mut(&id) {
-                kept.packet.dispatches += 1;
-                kept.state = State::Out(endpoint);
-            }
             *chosen.entry(packet.destination).or_default() += 1;
-            self.out += 1;
-            self.endpoints.entry(endpoint).or_default().out += 1;
+            let time_out = self.time_out(now, &packet, lost);
+            self.send(id, endpoint);
             host.dispatch(id, endpoint, time_out);
         }
         self.line = looked;
--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -30,6 +30,9 @@
     Up(Duration),
 }
 
+/// How long an answer takes that needs no work.
+const AT_ONCE: Duration = Duration::from_millis(2);
+
 /// One packet of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Piece {
@@ -38,6 +41,14 @@
     pub memory: Duration,
 }
 
+impl Piece {
+    /// A packet wanted, as its receiver sees it.
+    pub fn new(plan: &Plan, origin: OriginId) -> Self {
+        let category = plan.category(plan.origins[origin.0].category);
+        Piece { origin, repeat: category.repeat, memory: category.memory.unwrap_or_default() }
+    }
+}
+
 /// What a call is answered, as a whole or for each packet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -80,6 +91,19 @@
     pub fell: bool,
 }
 
+impl Reception {
+    /// The connection breaks before the call begins.
+    fn reset(now: Duration, pieces: usize, fell: bool) -> Self {
+        Reception { answer: Some((now, Answer::Reset)), effects: vec![false; pieces], report: None, fell }
+    }
+
+    /// The call is turned away.
+    fn full(now: Duration, pieces: usize, wait: Option<Duration>, report: Option<Report>) -> Self {
+        let answer = Some((now + AT_ONCE, Answer::Full(wait)));
+        Reception { answer, effects: vec![false; pieces], report, fell: false }
+    }
+}
+
 /// What senders share at a destination or, where routes are apart, at an endpoint.
 struct Gate {
     gauge: Gauge,
@@ -194,79 +218,104 @@
         endpoint: EndpointId,
         pieces: &[Piece],
     ) -> Reception {
-        let conditions = self.weather.at(now, endpoint);
-        let group = plan.group(self.endpoints[endpoint.0 as usize].destination);
-        let gate = self.endpoints[endpoint.0 as usize].gate;
-        let none = vec![false; pieces.len()];
         if !self.reachable(plan, now, endpoint) {
-            return Reception {
-                answer: Some((now, Answer::Reset)),
-                effects: none,
-                report: None,
-                fell: false,
-            };
-        }
-        let Gate { gauge, recovery } = &mut self.gates[gate];
-        if recovery.push(now) {
-            return Reception { answer: Some((now, Answer::Reset)), effects: none, report: None, fell: true };
+            return Reception::reset(now, pieces.len(), false);
         }
-        let soon = now + Duration::from_millis(2);
-        let full = |wait, report| Reception {
-            answer: Some((soon, Answer::Full(wait))),
-            effects: vec![false; pieces.len()],
-            report,
-            fell: false,
-        };
-        if let Some((until, tells)) = conditions.shut {
-            let tells = tells > 0.0 && self.rng.random_bool(tells);
-            return full(tells.then(|| until.saturating_sub(now)), None);
+        let gate = self.endpoints[endpoint.0 as usize].gate;
+        if self.gates[gate].recovery.push(now) {
+            return Reception::reset(now, pieces.len(), true);
         }
-        if conditions.drains && now >= conditions.drained {
-            return full(None, None);
+        let conditions = self.weather.at(now, endpoint);
+        if let Some(wait) = self.shut(now, &conditions) {
+            return Reception::full(now, pieces.len(), wait, None);
         }
+        let group = plan.group(self.endpoints[endpoint.0 as usize].destination);
+        let gauge = &mut self.gates[gate].gauge;
         gauge.lower(now, conditions.limit);
         let room = gauge.take(now);
         let report = group.report.then(|| gauge.report(now)).flatten();
         if let Err(wait) = room {
-            let tells = group.limit.tells > 0.0 && self.rng.random_bool(group.limit.tells);
-            return full(tells.then_some(wait), report);
+            let tells = self.strikes(group.limit.tells);
+            return Reception::full(now, pieces.len(), tells.then_some(wait), report);
         }
         let fresh: Vec<bool> = pieces.iter().map(|piece| self.is_fresh(now, endpoint, piece)).collect();
-        if conditions.errors > 0.0 && self.rng.random_bool(conditions.errors) {
-            // It failed somewhere on the way: for half of them after the work was done.
-            let ran = self.rng.random_bool(0.5);
-            let effects: Vec<bool> = fresh.iter().map(|fresh| *fresh && ran).collect();
-            self.remember(now, endpoint, pieces, &effects);
-            return Reception { answer: Some((soon, Answer::Error)), effects, report, fell: false };
+        if self.strikes(conditions.errors) {
+            return self.fail(now, endpoint, pieces, fresh, report);
         }
-        let Some(finish) = self.work(plan, now, endpoint, &conditions, group, &fresh) else {
-            return full(None, report);
-        };
+        match self.work(plan, now, endpoint, &conditions, group, &fresh) {
+            None => Reception::full(now, pieces.len(), None, report),
+            Some(finish) => {
+                let (answer, effects) = self.complete(now, endpoint, &conditions, pieces, fresh, finish);
+                Reception { answer, effects, report, fell: false }
+            }
+        }
+    }
+
+    /// Whether something with this share of all cases happens in this one.
+    fn strikes(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    /// Whether all calls are turned away; then the wait, where it is told.
+    fn shut(&mut self, now: Duration, conditions: &Conditions) -> Option<Option<Duration>> {
+        if let Some((until, tells)) = conditions.shut {
+            let tells = self.strikes(tells);
+            return Some(tells.then(|| until.saturating_sub(now)));
+        }
+        (conditions.drains && now >= conditions.drained).then_some(None)
+    }
+
+    /// A call fails somewhere on the way: half of them after the work was done.
+    fn fail(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointId,
+        pieces: &[Piece],
+        fresh: Vec<bool>,
+        report: Option<Report>,
+    ) -> Reception {
+        let ran = self.rng.random_bool(0.5);
+        let effects: Vec<bool> = fresh.iter().map(|fresh| *fresh && ran).collect();
+        self.remember(now, endpoint, pieces, &effects);
+        Reception { answer: Some((now + AT_ONCE, Answer::Error)), effects, report, fell: false }
+    }
+
+    /// A call was worked on until `finish`: when and what it is answered, if it is, and which of its packets took
+    /// effect.
+    fn complete(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointId,
+        conditions: &Conditions,
+        pieces: &[Piece],
+        fresh: Vec<bool>,
+        finish: Duration,
+    ) -> (Option<(Duration, Answer)>, Vec<bool>) {
         let mut effects = fresh;
-        let answer = self.answer(&conditions, pieces, &mut effects);
+        let answer = self.answer(conditions, pieces, &mut effects);
         self.remember(now, endpoint, pieces, &effects);
+        if conditions.silent {
+            return (None, effects);
+        }
         let down = self.weather.next_down(now, endpoint).filter(|down| *down < finish);
-        let answer = match answer {
-            _ if conditions.silent => None,
+        let answer = match down {
             // It dies with the call at work.
-            _ if down.is_some() => down.map(|down| (down, Answer::Reset)),
-            Some(answer) => Some((finish, answer)),
-            None => None,
+            Some(down) => Some((down, Answer::Reset)),
+            None => answer.map(|answer| (finish, answer)),
         };
-        Reception { answer, effects, report, fell: false }
+        (answer, effects)
     }
 
     /// How a call at work ends, and which of its packets take effect after all.
     fn answer(&mut self, conditions: &Conditions, pieces: &[Piece], effects: &mut [bool]) -> Option<Answer> {
-        let mut struck = |share: f64| share > 0.0 && self.rng.random_bool(share);
-        if struck(conditions.answer_lost) {
+        if self.strikes(conditions.answer_lost) {
             return None;
         }
-        if struck(conditions.reset_after) {
+        if self.strikes(conditions.reset_after) {
             return Some(Answer::Reset);
         }
         if let Some((share, manner)) = conditions.spoilt
-            && struck(share)
+            && self.strikes(share)
         {
             return Some(Answer::Spoilt(manner));
         }
@@ -275,9 +324,9 @@
         }
         let mut each = Vec::with_capacity(pieces.len());
         for effect in effects.iter_mut() {
-            each.push(match struck(conditions.partial) {
+            each.push(match self.strikes(conditions.partial) {
                 false => PieceAnswer::Accepted,
-                true if struck(0.5) => {
+                true if self.strikes(0.5) => {
                     *effect = false;
                     PieceAnswer::Deferred
                 }
--- a/crates/sailcart-lab/src/simulated/clients.rs
+++ b/crates/sailcart-lab/src/simulated/clients.rs
@@ -9,6 +9,7 @@
 use super::event::Event;
 use super::parcel::{Ended, Parcel};
 use super::world::World;
+use crate::experiment::choose_by_key;
 use crate::plan::{OriginId, SenderId};
 use crate::results::tally::Count;
 use crate::watcher::{End, Handed, Seen};
@@ -19,9 +20,6 @@
 const NO_SENDER_PAUSE: Duration = Duration::from_millis(100);
 /// A client's pause before it comes again is drawn between once and so many times the one in the experiment.
 const MOST_PAUSE_FACTOR: f64 = 1.5;
-/// Spreads neighbouring keys over the senders (2^32 divided by the golden ratio).
-const KEY_SPREAD: u64 = 0x9e37_79b9;
-
 impl World<'_> {
     /// A client hands its packet in to a sender of its choice.
     pub fn hand_in(&mut self, id: OriginId, tries: u32) {
@@ -36,7 +34,7 @@
         };
         let packet = PacketId(self.parcels.len() as u64);
         self.parcels.push(Parcel::new(id, sender, tries, self.now, ends));
-        self.see(Seen::Handed(self.handed(packet)));
+        self.see(Seen::Handed(Handed::new(self.plan, packet, id, sender)));
         self.tally.count(Count::HandedIn);
         if self.posts[sender.0].held.len() >= self.plan.terms.hold {
             let retry_after = self.plan.terms.retry_after;
@@ -46,34 +44,14 @@
         self.take(sender, packet);
     }
 
-    /// What the watcher is told of a handing in.
-    fn handed(&self, packet: PacketId) -> Handed {
-        let parcel = self.parcel(packet);
-        let origin = self.origin_of(packet);
-        let category = self.plan.category(origin.category);
-        Handed {
-            packet,
-            origin: parcel.origin,
-            sender: parcel.sender,
-            destination: origin.destination,
-            repeat: category.repeat,
-            in_order: category.in_order,
-            key: origin.key,
-            ends: parcel.ends,
-        }
-    }
-
     /// By key where it has one, so that one sender gets all of a key while it runs; else any.
     fn choose_sender(&mut self, id: OriginId) -> Option<SenderId> {
-        let taking: Vec<usize> = (0..self.posts.len()).filter(|at| self.posts[*at].taking).collect();
-        let chosen = match self.plan.origins[id.0].key {
-            Some(key) => {
-                let spread = key.0.wrapping_mul(KEY_SPREAD) >> 7;
-                taking.get(spread as usize % taking.len().max(1))
-            }
-            None => taking.choose(&mut self.rng),
-        };
-        chosen.copied().map(SenderId)
+        let senders = (0..self.posts.len()).map(SenderId);
+        let taking: Vec<SenderId> = senders.filter(|sender| self.posts[sender.0].taking).collect();
+        match self.plan.origins[id.0].key {
+            Some(key) => choose_by_key(key, &taking),
+            None => taking.choose(&mut self.rng).copied(),
+        }
     }
 
     /// The client hears the answer to its handing in.
--- a/crates/sailcart-lab/src/simulated/world.rs
+++ b/crates/sailcart-lab/src/simulated/world.rs
@@ -95,15 +95,6 @@
 
     /// What a receiver sees of each packet.
     pub fn pieces(&self, packets: &[PacketId]) -> Vec<Piece> {
-        packets.iter().map(|packet| self.piece(*packet)).collect()
-    }
-
-    fn piece(&self, packet: PacketId) -> Piece {
-        let category = self.plan.category(self.origin_of(packet).category);
-        Piece {
-            origin: self.parcel(packet).origin,
-            repeat: category.repeat,
-            memory: category.memory.unwrap_or_default(),
-        }
+        packets.iter().map(|packet| Piece::new(self.plan, self.parcel(*packet).origin)).collect()
     }
 }
--- a/crates/sailcart-lab/src/sockets/clients.rs
+++ b/crates/sailcart-lab/src/sockets/clients.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
+use sailcart::PacketId;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -18,6 +19,7 @@
 use super::process::Crew;
 use super::stage::Stage;
 use super::wording::put;
+use crate::experiment::choose_by_key;
 use crate::plan::{OriginId, SenderId, Struck, chance};
 use crate::results::tally::Count;
 use crate::watcher::{End, Seen};
@@ -84,7 +86,7 @@
     fn choose(&self, id: OriginId) -> Option<SenderId> {
         let up = self.crew.taking();
         match self.stage.plan.origins[id.0].key {
-            Some(key) => up.get((key.0.wrapping_mul(0x9e37_79b9) >> 7) as usize % up.len().max(1)).copied(),
+            Some(key) => choose_by_key(key, &up),
             None => up.choose(&mut *self.rng.borrow_mut()).copied(),
         }
     }
@@ -108,14 +110,10 @@
             };
             let packet = self.stage.hand(origin, sender, tries);
             let bytes = put(plan, origin, packet.0, ends - now);
-            let mut said = say(&mut stream, &bytes).await;
-            if said.is_err() && !fresh {
-                // Closed between two commands: once more on a new connection.
-                if let Ok(mut new) = TcpStream::connect(self.crew.address(sender)).await {
-                    said = say(&mut new, &bytes).await;
-                    stream = new;
-                }
-            }
+            let said = match say(&mut stream, &bytes).await {
+                Err(_) if !fresh => self.say_again(sender, &mut stream, &bytes).await,
+                said => said,
+            };
             let Ok(heard) = said else {
                 self.stage.abandoned(packet);
                 sleep(ELSEWHERE).await;
@@ -123,20 +121,32 @@
             };
             let from = if tries == 0 { wanted.at } else { intended };
             self.stage.tally.borrow_mut().answered(self.stage.now().saturating_sub(from));
-            match heard {
-                Heard::Taken => self.stage.taken(packet),
-                Heard::Dismissed(wait) => self.stage.ended(packet, End::Dismissed, wait),
-                Heard::Error => {
-                    log::warn!("packet {}: code=error_answer", packet.0);
-                    self.stage.see(Seen::Ended(packet, End::Dismissed));
-                    self.stage.abandoned(packet);
-                }
-            }
+            self.hear(packet, heard);
             self.idle.borrow_mut().entry(sender).or_default().push(stream);
             return;
         }
     }
 
+    /// A kept connection was closed between two commands: once more on a new one, which takes its place.
+    async fn say_again(&self, sender: SenderId, kept: &mut TcpStream, bytes: &[u8]) -> io::Result<Heard> {
+        let mut new = TcpStream::connect(self.crew.address(sender)).await?;
+        let said = say(&mut new, bytes).await;
+        *kept = new;
+        said
+    }
+
+    fn hear(&self, packet: PacketId, heard: Heard) {
+        match heard {
+            Heard::Taken => self.stage.taken(packet),
+            Heard::Dismissed(wait) => self.stage.ended(packet, End::Dismissed, wait),
+            Heard::Error => {
+                log::warn!("packet {}: code=error_answer", packet.0);
+                self.stage.see(Seen::Ended(packet, End::Dismissed));
+                self.stage.abandoned(packet);
+            }
+        }
+    }
+
     /// A kept connection, or a new one; whether it is new.
     async fn connection(&self, sender: SenderId) -> Option<(TcpStream, bool)> {
         let kept = self.idle.borrow_mut().get_mut(&sender).and_then(Vec::pop);
--- a/crates/sailcart-lab/src/sockets/discovery.rs
+++ b/crates/sailcart-lab/src/sockets/discovery.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sailcart::EndpointId;
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +19,9 @@
 use crate::plan::{Change, SenderId, Standing};
 use crate::watcher::{End, Seen};
 
+/// A sender waits for news so long at most, in milliseconds.
+const LONGEST_HOLD_MS: u64 = 60_000;
+
 struct Agent {
     stage: Rc<Stage>,
     sender: SenderId,
@@ -121,33 +125,12 @@
     }
 
     async fn list(&self, call: &Call) -> Vec<u8> {
-        let query = |name: &str| {
-            let (_, after) = call.path.split_once(name)?;
-            after.split('&').next()?.parse::<u64>().ok()
-        };
         self.while_silent().await;
-        let from = query("from=").filter(|from| (1..=self.news.len() as u64 + 1).contains(from));
-        let hold = Duration::from_millis(query("hold_ms=").unwrap_or(0).min(60_000));
-        let until = Instant::now() + hold;
-        if let Some(from) = from {
-            // Sleeps until the next change that this sender has not, or as long as it asked.
-            if self.reached(self.stage.now()) < from as usize {
-                let next = self.news.get(from as usize - 1).map(|(at, _)| self.stage.instant(*at));
-                sleep_until(next.map_or(until, |next| next.min(until))).await;
-                self.while_silent().await;
-            }
-        }
+        let from = query(call, "from=").filter(|from| (1..=self.news.len() as u64 + 1).contains(from));
+        let hold = Duration::from_millis(query(call, "hold_ms=").unwrap_or(0).min(LONGEST_HOLD_MS));
+        self.next_news(from, Instant::now() + hold).await;
         let reached = self.reached(self.stage.now());
-        let told = from.map_or(0, |from| (from as usize - 1).min(reached));
-        let mut lines = Vec::new();
-        if from.is_none() {
-            let first = self.stage.plan.places.iter().filter(|place| place.from.is_zero());
-            lines.extend(first.map(|place| (place.endpoint, Standing::Ready)));
-        }
-        for (_, change) in &self.news[told..reached] {
-            lines.retain(|(endpoint, _)| *endpoint != change.endpoint);
-            lines.push((change.endpoint, change.standing));
-        }
+        let mut lines = self.lines(from, reached);
         for (endpoint, standing) in &lines {
             self.stage.see(match standing {
                 Standing::Ready => Seen::ToldOn(self.sender, *endpoint),
@@ -162,4 +145,35 @@
         let list = json!({"generation": reached + 1, "reset": from.is_none(), "instances": entries});
         answer("200 OK", "", &list.to_string())
     }
+
+    /// Sleeps until the next change that this sender has not, or as long as it asked; not where it asks for all.
+    async fn next_news(&self, from: Option<u64>, until: Instant) {
+        let Some(from) = from else { return };
+        if self.reached(self.stage.now()) < from as usize {
+            let next = self.news.get(from as usize - 1).map(|(at, _)| self.stage.instant(*at));
+            sleep_until(next.map_or(until, |next| next.min(until))).await;
+            self.while_silent().await;
+        }
+    }
+
+    /// What changed since version `from`, or everything, with the changes that have reached this agent.
+    fn lines(&self, from: Option<u64>, reached: usize) -> Vec<(EndpointId, Standing)> {
+        let told = from.map_or(0, |from| (from as usize - 1).min(reached));
+        let mut lines = Vec::new();
+        if from.is_none() {
+            let first = self.stage.plan.places.iter().filter(|place| place.from.is_zero());
+            lines.extend(first.map(|place| (place.endpoint, Standing::Ready)));
+        }
+        for (_, change) in &self.news[told..reached] {
+            lines.retain(|(endpoint, _)| *endpoint != change.endpoint);
+            lines.push((change.endpoint, change.standing));
+        }
+        lines
+    }
+}
+
+/// A number that a call's path gives after a name.
+fn query(call: &Call, name: &str) -> Option<u64> {
+    let (_, after) = call.path.split_once(name)?;
+    after.split('&').next()?.parse().ok()
 }
--- a/crates/sailcart-lab/src/sockets/receiver.rs
+++ b/crates/sailcart-lab/src/sockets/receiver.rs
@@ -330,37 +330,17 @@
         packets: &[PacketId],
         reception: Reception,
     ) -> After {
-        let stage = self.stage;
-        let over = |heard| stage.see(Seen::Over { call: id, heard });
-        let due = async {
-            match &reception.answer {
-                Some((at, _)) => sleep_until(stage.instant(*at)).await,
-                None => std::future::pending().await,
-            }
-        };
-        tokio::select! {
-            () = due => {}
-            () = gone(&self.stream) => {
-                stage.tally.borrow_mut().count(Count::Unanswered);
-                over(Heard::Unsure);
-                return After::Close;
-            }
-            () = Self::stops(stage, self.endpoint) => {
-                stage.tally.borrow_mut().count(Count::Errors);
-                over(Heard::Unsure);
-                return After::Reset;
-            }
+        let due = reception.answer.as_ref().map(|(at, _)| *at);
+        if let Some((count, after)) = self.interrupted(due).await {
+            return self.unanswered(id, count, after);
         }
         let Some((_, answer)) = reception.answer else { return After::Reset };
-        let bytes = written(&answer, ids, reception.report);
-        let Some(bytes) = bytes else {
-            stage.tally.borrow_mut().count(Count::Errors);
-            over(Heard::Unsure);
-            return After::Reset;
+        let Some(bytes) = written(&answer, ids, reception.report) else {
+            return self.unanswered(id, Count::Errors, After::Reset);
         };
         // What is told must stand before the sender can act on it.
         let heard = self.heard(&answer, packets);
-        over(heard);
+        self.stage.see(Seen::Over { call: id, heard });
         // A spoilt answer may be more than its reader takes: it closes, or this gives up soon.
         let wrote = timeout(Duration::from_secs(1), self.stream.write_all(&bytes)).await;
         match (&answer, wrote) {
@@ -373,6 +353,28 @@
         }
     }
 
+    /// Waits until an answer is due, for ever without one; tells what comes before it, if anything does.
+    async fn interrupted(&self, due: Option<Duration>) -> Option<(Count, After)> {
+        let due = async {
+            match due {
+                Some(at) => sleep_until(self.stage.instant(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = due => None,
+            () = gone(&self.stream) => Some((Count::Unanswered, After::Close)),
+            () = Self::stops(self.stage, self.endpoint) => Some((Count::Errors, After::Reset)),
+        }
+    }
+
+    /// A call is over without an answer.
+    fn unanswered(&self, id: CallId, count: Count, after: After) -> After {
+        self.stage.tally.borrow_mut().count(count);
+        self.stage.see(Seen::Over { call: id, heard: Heard::Unsure });
+        after
+    }
+
     /// What the sender will have heard, and which packets are delivered by it.
     fn heard(&self, answer: &Answer, packets: &[PacketId]) -> Heard {
         let stage = self.stage;
@@ -411,6 +413,7 @@
     }
 }
 
+/// What becomes of a connection after a call.
 enum After {
     Keep,
     Close,
--- a/crates/sailcart-lab/src/sockets/stage.rs
+++ b/crates/sailcart-lab/src/sockets/stage.rs
@@ -104,20 +104,10 @@
         parcels.push(Parcel { origin, sender, tries, taken: false, end: None });
         drop(parcels);
         let wanted = &self.plan.origins[origin.0];
-        let category = self.plan.category(wanted.category);
         self.tally.borrow_mut().count(Count::HandedIn);
         self.tally.borrow_mut().holds(wanted.destination, true);
         self.open.set(self.open.get() + 1);
-        self.see(Seen::Handed(Handed {
-            packet,
-            origin,
-            sender,
-            destination: wanted.destination,
-            repeat: category.repeat,
-            in_order: category.in_order,
-            key: wanted.key,
-            ends: wanted.at + category.patience,
-        }));
+        self.see(Seen::Handed(Handed::new(&self.plan, packet, origin, sender)));
         packet
     }
 
@@ -204,9 +194,7 @@
             let memory = if mark.is_some() { memory.unwrap_or_default() } else { Duration::ZERO };
             return Piece { origin: *known.entry(name).or_insert(next), repeat, memory };
         }
-        let origin = self.parcels.borrow()[packet.0 as usize].origin;
-        let category = self.plan.category(self.plan.origins[origin.0].category);
-        Piece { origin, repeat: category.repeat, memory: category.memory.unwrap_or_default() }
+        Piece::new(&self.plan, self.parcels.borrow()[packet.0 as usize].origin)
     }
 
     /// A connection that could not come up is not seen here: who had packets for it must have tried.
--- a/crates/sailcart-lab/src/sockets/wording.rs
+++ b/crates/sailcart-lab/src/sockets/wording.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use super::http::{Call, answer};
-use crate::experiment::{Late, Repeat, Spoil};
+use crate::experiment::{Category, Late, Repeat, Spoil};
 use crate::plan::{OriginId, Plan, SenderId, Standing};
 use crate::receivers::{Answer, PieceAnswer};
 
@@ -63,26 +63,26 @@
     })
 }
 
+/// The settings of one category.
+fn lane(category: &Category) -> Value {
+    let repeat = match category.repeat {
+        Repeat::Idempotent => "retryable",
+        Repeat::Deduplicated => "dedup",
+        Repeat::Unrepeatable => "fragile",
+    };
+    json!({
+        "name": category.name, "repeat": repeat, "group": "all",
+        "dedup_window_ms": ms(category.memory.unwrap_or_default()), "fifo_by_key": category.in_order,
+        "aim_ms": ms(category.soft_limit), "hard_limit_ms": ms(category.patience),
+        "gain": category.credit, "late_share": category.late_share,
+    })
+}
+
+/// What the operators set for all senders.
 fn settings(plan: &Plan) -> Value {
     let experiment = &plan.experiment;
     let (senders, rules) = (&experiment.senders, &experiment.rules);
-    let lanes: Vec<Value> = experiment
-        .categories
-        .iter()
-        .map(|category| {
-            let repeat = match category.repeat {
-                Repeat::Idempotent => "retryable",
-                Repeat::Deduplicated => "dedup",
-                Repeat::Unrepeatable => "fragile",
-            };
-            json!({
-                "name": category.name, "repeat": repeat, "group": "all",
-                "dedup_window_ms": ms(category.memory.unwrap_or_default()), "fifo_by_key": category.in_order,
-                "aim_ms": ms(category.soft_limit), "hard_limit_ms": ms(category.patience),
-                "gain": category.credit, "late_share": category.late_share,
-            })
-        })
-        .collect();
+    let lanes: Vec<Value> = experiment.categories.iter().map(lane).collect();
     let customers: Vec<Value> =
         experiment.customers.iter().map(|c| json!({"name": c.name, "quota_per_s": c.quota})).collect();
     let idle = experiment.destinations.iter().map(|group| group.idle_close).min().unwrap_or_default();
--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::experiment::{Repeat, Rules};
-use crate::plan::{OriginId, SenderId};
+use crate::plan::{OriginId, Plan, SenderId};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
@@ -70,6 +70,25 @@
     pub ends: Duration,
 }
 
+impl Handed {
+    /// A packet wanted, as a client hands it in to a sender.
+    pub fn new(plan: &Plan, packet: PacketId, origin: OriginId, sender: SenderId) -> Self {
+        let wanted = &plan.origins[origin.0];
+        let category = plan.category(wanted.category);
+        Handed {
+            packet,
+            origin,
+            sender,
+            destination: wanted.destination,
+            repeat: category.repeat,
+            in_order: category.in_order,
+            key: wanted.key,
+            ends: wanted.at + category.patience,
+        }
+    }
+}
+
+/// What an outsider sees.
 #[derive(Clone, Debug)]
 pub enum Seen {
     Handed(Handed),
@@ -151,6 +170,13 @@
     pub abandoned: bool,
 }
 
+impl Kept {
+    /// A packet just handed in.
+    fn new(handed: Handed) -> Self {
+        Kept { handed, taken: None, end: None, out: None, last_came: None, abandoned: false }
+    }
+}
+
 #[derive(Clone)]
 pub(crate) struct Call {
     pub came: Duration,
@@ -211,15 +237,7 @@
         self.single.overdue(record);
         match seen {
             Seen::Handed(handed) => {
-                let kept = Kept {
-                    handed: *handed,
-                    taken: None,
-                    end: None,
-                    out: None,
-                    last_came: None,
-                    abandoned: false,
-                };
-                record.packets.insert(handed.packet, kept);
+                record.packets.insert(handed.packet, Kept::new(*handed));
                 self.order.handed(record, handed);
             }
             Seen::Taken(packet) => self.single.taken(record, *packet),
@@ -232,36 +250,17 @@
                 self.order.ended(*packet);
             }
             Seen::Came { call, sender, endpoint, gate, packets } => {
-                let came = Call {
-                    came: now,
-                    sender: *sender,
-                    endpoint: *endpoint,
-                    gate: *gate,
-                    packets: packets.clone(),
-                };
-                self.restraint.came(record, &came);
-                self.order.came(record, &came);
-                self.single.came(record, *call, &came);
-                record.calls.insert(*call, came);
+                let (sender, endpoint, gate) = (*sender, *endpoint, *gate);
+                self.came(*call, Call { came: now, sender, endpoint, gate, packets: packets.clone() });
             }
             Seen::Ran(call, effects) => self.single.ran(record, *call, effects),
-            Seen::Over { call, heard } => {
-                let Some(over) = record.calls.remove(call) else { return };
-                self.single.over(record, *call, &over);
-                self.order.over(record, &over, *heard);
-                self.restraint.over(record, &over, *heard);
-            }
+            Seen::Over { call, heard } => self.over(*call, *heard),
             Seen::NoConnection { sender, gate } => self.restraint.lost(*sender, *gate),
             Seen::ToldOff(sender, endpoint) => self.restraint.told_off(record, *sender, *endpoint),
             Seen::ToldOn(sender, endpoint) => self.restraint.told_on(*sender, *endpoint),
             Seen::OutageFrom(gate) => self.restraint.outage(*gate),
             Seen::Fell(gate) => self.restraint.fell(record, *gate),
-            Seen::SenderDown(sender) => {
-                record.down.insert(*sender);
-                self.single.down(record, *sender);
-                self.restraint.restarted(*sender);
-                self.order.restarted(record, *sender);
-            }
+            Seen::SenderDown(sender) => self.sender_down(*sender),
             Seen::SenderUp(sender) => {
                 record.down.remove(sender);
                 self.single.back(record, *sender);
@@ -269,6 +268,27 @@
         }
     }
 
+    fn came(&mut self, id: CallId, call: Call) {
+        self.restraint.came(&mut self.record, &call);
+        self.order.came(&mut self.record, &call);
+        self.single.came(&mut self.record, id, &call);
+        self.record.calls.insert(id, call);
+    }
+
+    fn over(&mut self, id: CallId, heard: Heard) {
+        let Some(call) = self.record.calls.remove(&id) else { return };
+        self.single.over(&mut self.record, id, &call);
+        self.order.over(&self.record, &call, heard);
+        self.restraint.over(&self.record, &call, heard);
+    }
+
+    fn sender_down(&mut self, sender: SenderId) {
+        self.record.down.insert(sender);
+        self.single.down(&self.record, sender);
+        self.restraint.restarted(sender);
+        self.order.restarted(&self.record, sender);
+    }
+
     /// All is over: what has no end now never gets one.
     pub fn finish(&mut self, now: Duration) {
         self.record.now = now.max(self.record.now);
