Laboratory: Weather is called TroubleSchedule

The experiments, the plan and the reports say trouble; the type that tells which of them stand at an endpoint said weather. A rename alone, in its test too.

--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod limit;
 pub mod recovery;
-mod weather;
+mod troubles;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -19,7 +19,7 @@
 use crate::plan::{OriginId, Plan, chance};
 use limit::Gauge;
 use recovery::Recovery;
-pub use weather::{Conditions, Weather};
+pub use troubles::{Conditions, TroubleSchedule};
 
 /// How a connection attempt fares.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -121,7 +121,7 @@
 }
 
 pub struct Receivers {
-    weather: Weather,
+    troubles: TroubleSchedule,
     endpoints: Vec<Endpoint>,
     gates: Vec<Gate>,
     /// Packets that took effect and may do so again, by destination; when they are forgotten.
@@ -133,13 +133,13 @@
     pub fn new(plan: &Plan) -> Self {
         let (mut gates, mut endpoints) = (Vec::new(), Vec::<Endpoint>::new());
         let mut shared: BTreeMap<DestinationId, usize> = BTreeMap::new();
-        let weather = Weather::new(plan);
+        let troubles = TroubleSchedule::new(plan);
         for place in &plan.places {
             let group = plan.group(place.destination);
             let destination = plan.destination(place.destination);
             let mut open = || {
                 let capacity = destination.capacity;
-                let outages = weather.outages(place.endpoint);
+                let outages = troubles.outages(place.endpoint);
                 gates.push(Gate {
                     gauge: Gauge::new(&group.limit),
                     recovery: Recovery::new(&plan.experiment.rules, capacity, outages),
@@ -160,14 +160,14 @@
             });
         }
         let rng = chance(plan.seed, 4);
-        Receivers { weather, endpoints, gates, remembered: BTreeMap::new(), rng }
+        Receivers { troubles, endpoints, gates, remembered: BTreeMap::new(), rng }
     }
 
     /// A sender wants a connection. One that stands counts until [`Receivers::disconnected`].
     pub fn connect(&mut self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Connect {
         let place = plan.place(endpoint);
         let group = plan.group(place.destination);
-        let conditions = self.weather.at(now, endpoint);
+        let conditions = self.troubles.at(now, endpoint);
         let own = &mut self.endpoints[endpoint.0 as usize];
         if conditions.black_hole {
             return Connect::Never;
@@ -190,23 +190,23 @@
     pub fn reachable(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> bool {
         let place = plan.place(endpoint);
         let fallen = self.gates[self.endpoints[endpoint.0 as usize].gate].recovery.fallen();
-        now < place.gone && !fallen && !self.weather.at(now, endpoint).down
+        now < place.gone && !fallen && !self.troubles.at(now, endpoint).down
     }
 
     /// When anything about it next changes by itself.
     pub fn next_change(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Option<Duration> {
         let place = plan.place(endpoint);
         let own = [place.from, place.gone].into_iter().filter(|at| *at > now && *at < Duration::MAX);
-        own.chain(self.weather.next_change(now, endpoint)).min()
+        own.chain(self.troubles.next_change(now, endpoint)).min()
     }
 
     pub fn conditions(&self, now: Duration, endpoint: EndpointId) -> Conditions {
-        self.weather.at(now, endpoint)
+        self.troubles.at(now, endpoint)
     }
 
     /// Whether a connection breaks before a call's last byte.
     pub fn cuts_before(&mut self, now: Duration, endpoint: EndpointId) -> bool {
-        let share = self.weather.at(now, endpoint).reset_before;
+        let share = self.troubles.at(now, endpoint).reset_before;
         share > 0.0 && self.rng.random_bool(share)
     }
 
@@ -225,7 +225,7 @@
         if self.gates[gate].recovery.push(now) {
             return Reception::reset(now, pieces.len(), true);
         }
-        let conditions = self.weather.at(now, endpoint);
+        let conditions = self.troubles.at(now, endpoint);
         if let Some(wait) = self.shut(now, &conditions) {
             return Reception::full(now, pieces.len(), wait, None);
         }
@@ -297,7 +297,7 @@
         if conditions.silent {
             return (None, effects);
         }
-        let down = self.weather.next_down(now, endpoint).filter(|down| *down < finish);
+        let down = self.troubles.next_down(now, endpoint).filter(|down| *down < finish);
         let answer = match down {
             // It dies with the call at work.
             Some(down) => Some((down, Answer::Reset)),
@@ -394,7 +394,7 @@
         let place = plan.place(endpoint);
         let own = &self.endpoints[endpoint.0 as usize];
         let gate = &self.gates[own.gate];
-        let conditions = self.weather.at(now, endpoint);
+        let conditions = self.troubles.at(now, endpoint);
         let troubled = conditions.black_hole || conditions.silent || conditions.shut.is_some();
         let lossy = conditions.errors + conditions.answer_lost + conditions.reset_after > 0.5;
         let group = plan.group(own.destination);
--- a/crates/sailcart-lab/src/receivers/weather.rs
+++ b/crates/sailcart-lab/src/receivers/troubles.rs
@@ -52,7 +52,7 @@
     }
 }
 
-pub struct Weather {
+pub struct TroubleSchedule {
     /// By endpoint.
     struck: Vec<Vec<Struck>>,
 }
@@ -60,7 +60,7 @@
 /// Errors for most calls count as an outage.
 const MOST: f64 = 0.5;
 
-impl Weather {
+impl TroubleSchedule {
     pub fn new(plan: &Plan) -> Self {
         let mut struck = vec![Vec::new(); plan.places.len()];
         for one in &plan.struck {
@@ -69,14 +69,14 @@
                 struck[endpoint.0 as usize].push(light.clone());
             }
         }
-        // What takes a place at the old address has the old one's weather, but for its drain.
+        // What takes a place at the old address has the old one's troubles, but for its drain.
         for place in plan.places.iter().filter(|place| place.address != place.endpoint) {
             let inherited = struck[place.address.0 as usize].clone();
             let drains = |s: &Struck| matches!(s.trouble.kind, TroubleKind::Drain | TroubleKind::Replace);
             struck[place.endpoint.0 as usize] = inherited.into_iter().filter(|s| !drains(s)).collect();
         }
         debug_assert!(plan.changes.iter().all(|c| c.standing != Standing::Gone || c.at > Duration::ZERO));
-        Weather { struck }
+        TroubleSchedule { struck }
     }
 
     pub fn at(&self, now: Duration, endpoint: EndpointId) -> Conditions {
--- a/crates/sailcart-lab/src/simulated/schedule.rs
+++ b/crates/sailcart-lab/src/simulated/schedule.rs
@@ -7,7 +7,7 @@
 use super::world::World;
 use crate::experiment::TroubleKind;
 use crate::plan::{OriginId, Plan, SenderId, Struck};
-use crate::receivers::Weather;
+use crate::receivers::TroubleSchedule;
 
 /// A sender that stops as told lets calls come back for so long.
 const STOPPING: Duration = Duration::from_secs(3);
@@ -51,10 +51,10 @@
 
     fn schedule_outages(&mut self) {
         let plan: &Plan = self.plan;
-        let weather = Weather::new(plan);
+        let troubles = TroubleSchedule::new(plan);
         for place in &plan.places {
             let gate = self.gate(place.endpoint);
-            for (from, _) in weather.outages(place.endpoint) {
+            for (from, _) in troubles.outages(place.endpoint) {
                 self.queue.push(from, Event::OutageFrom(gate));
             }
         }
--- a/crates/sailcart-lab/src/sockets/receiver.rs
+++ b/crates/sailcart-lab/src/sockets/receiver.rs
@@ -15,7 +15,7 @@
 use super::stage::Stage;
 use super::wording::{named, written};
 use crate::plan::SenderId;
-use crate::receivers::{Answer, Connect, Reception, Weather};
+use crate::receivers::{Answer, Connect, Reception, TroubleSchedule};
 use crate::results::tally::Count;
 use crate::watcher::{CallId, End, GateId, Heard, Seen};
 
@@ -58,10 +58,10 @@
 
 /// Tells the watcher when outages begin, and who must have met one.
 pub fn troubles(stage: &Rc<Stage>) {
-    let weather = Weather::new(&stage.plan);
+    let troubles = TroubleSchedule::new(&stage.plan);
     for place in &stage.plan.places {
         let gate = stage.gate(place.endpoint);
-        for (from, until) in weather.outages(place.endpoint) {
+        for (from, until) in troubles.outages(place.endpoint) {
             let (stage, endpoint) = (stage.clone(), place.endpoint);
             spawn_local(async move {
                 sleep_until(stage.instant(from)).await;
--- a/crates/sailcart-lab/tests/hard_cases.rs
+++ b/crates/sailcart-lab/tests/hard_cases.rs
@@ -9,7 +9,7 @@
 use sailcart_lab::experiment::{Repeat, Rules, read_text};
 use sailcart_lab::plan::{OriginId, SenderId};
 use sailcart_lab::policies::PolicyName;
-use sailcart_lab::receivers::{Answer, Connect, Piece, PieceAnswer, Receivers, Weather};
+use sailcart_lab::receivers::{Answer, Connect, Piece, PieceAnswer, Receivers, TroubleSchedule};
 use sailcart_lab::watcher::{CallId, End, GateId, Handed, Heard, Rule, Seen, Watcher};
 
 const E: EndpointId = EndpointId(0);
@@ -168,9 +168,9 @@
     let troubles = "[[troubles]]\nkind = \"slow\"\nat = \"1s\"\nfor = \"4s\"\nfactor = 3.0\n\
         [[troubles]]\nkind = \"errors\"\nat = \"2s\"\nfor = \"2s\"\nshare = 0.5\n\
         [[troubles]]\nkind = \"errors\"\nat = \"2500ms\"\nfor = \"1s\"\nshare = 0.5\n";
-    let weather = Weather::new(&plan(&[], troubles));
+    let schedule = TroubleSchedule::new(&plan(&[], troubles));
     let at = |seconds| {
-        let here = weather.at(s(seconds), E);
+        let here = schedule.at(s(seconds), E);
         (here.slow, here.errors)
     };
     assert_eq!([at(1.5), at(2.2), at(3.0), at(4.5)], [(3.0, 0.0), (3.0, 0.5), (3.0, 0.75), (3.0, 0.0)]);
