--- a/crates/sailcart-lab/src/sockets/clients.rs
+++ b/crates/sailcart-lab/src/sockets/clients.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::process::Crew;
-use super::stage::Stage;
+use super::shared::SharedState;
 use super::wording::put;
 use crate::experiment::choose_by_key;
 use crate::plan::{OriginId, SenderId, Struck, chance};
@@ -34,7 +34,7 @@
 const MOST_ANSWER: usize = 512;
 
 pub struct Clients {
-    stage: Rc<Stage>,
+    shared: Rc<SharedState>,
     crew: Rc<Crew>,
     idle: RefCell<HashMap<SenderId, Vec<TcpStream>>>,
     rng: RefCell<ChaCha8Rng>,
@@ -49,17 +49,17 @@
 }
 
 impl Clients {
-    pub fn new(stage: &Rc<Stage>, crew: &Rc<Crew>) -> Rc<Clients> {
-        let rng = RefCell::new(chance(stage.plan.seed, 6));
-        Rc::new(Clients { stage: stage.clone(), crew: crew.clone(), idle: RefCell::default(), rng })
+    pub fn new(shared: &Rc<SharedState>, crew: &Rc<Crew>) -> Rc<Clients> {
+        let rng = RefCell::new(chance(shared.plan.seed, 6));
+        Rc::new(Clients { shared: shared.clone(), crew: crew.clone(), idle: RefCell::default(), rng })
     }
 
     pub async fn hand_all_in(self: Rc<Self>) {
         let again = self.clone();
         spawn_local(async move { again.again().await });
-        for (number, origin) in self.stage.plan.origins.iter().enumerate() {
-            if origin.at > self.stage.now() {
-                sleep_until(self.stage.instant(origin.at)).await;
+        for (number, origin) in self.shared.plan.origins.iter().enumerate() {
+            if origin.at > self.shared.now() {
+                sleep_until(self.shared.instant(origin.at)).await;
             }
             spawn_local(self.clone().hand_in(OriginId(number), 0, origin.at));
         }
@@ -69,9 +69,9 @@
     async fn again(self: Rc<Self>) {
         loop {
             sleep(Duration::from_millis(20)).await;
-            let now = self.stage.now();
+            let now = self.shared.now();
             let due = {
-                let mut all = self.stage.again.borrow_mut();
+                let mut all = self.shared.again.borrow_mut();
                 let (due, later): (Vec<_>, Vec<_>) = all.drain(..).partition(|(_, _, at)| *at <= now);
                 *all = later;
                 due
@@ -85,18 +85,18 @@
     /// By key where it has one, so that one sender gets all of a key while it runs; else any.
     fn choose(&self, id: OriginId) -> Option<SenderId> {
         let up = self.crew.taking();
-        match self.stage.plan.origins[id.0].key {
+        match self.shared.plan.origins[id.0].key {
             Some(key) => choose_by_key(key, &up),
             None => up.choose(&mut *self.rng.borrow_mut()).copied(),
         }
     }
 
     async fn hand_in(self: Rc<Self>, origin: OriginId, tries: u32, intended: Duration) {
-        let plan = &self.stage.plan;
+        let plan = &self.shared.plan;
         let wanted = &plan.origins[origin.0];
         let ends = wanted.at + plan.category(wanted.category).patience;
         loop {
-            let now = self.stage.now();
+            let now = self.shared.now();
             if now >= ends {
                 return;
             }
@@ -108,19 +108,19 @@
                 sleep(ELSEWHERE).await;
                 continue;
             };
-            let packet = self.stage.hand(origin, sender, tries);
+            let packet = self.shared.hand(origin, sender, tries);
             let bytes = put(plan, origin, packet.0, ends - now);
             let said = match say(&mut stream, &bytes).await {
                 Err(_) if !fresh => self.say_again(sender, &mut stream, &bytes).await,
                 said => said,
             };
             let Ok(heard) = said else {
-                self.stage.abandoned(packet);
+                self.shared.abandoned(packet);
                 sleep(ELSEWHERE).await;
                 continue;
             };
             let from = if tries == 0 { wanted.at } else { intended };
-            self.stage.tally.borrow_mut().answered(self.stage.now().saturating_sub(from));
+            self.shared.tally.borrow_mut().answered(self.shared.now().saturating_sub(from));
             self.hear(packet, heard);
             self.idle.borrow_mut().entry(sender).or_default().push(stream);
             return;
@@ -137,12 +137,12 @@
 
     fn hear(&self, packet: PacketId, heard: Heard) {
         match heard {
-            Heard::Taken => self.stage.taken(packet),
-            Heard::Dismissed(wait) => self.stage.ended(packet, End::Dismissed, wait),
+            Heard::Taken => self.shared.taken(packet),
+            Heard::Dismissed(wait) => self.shared.ended(packet, End::Dismissed, wait),
             Heard::Error => {
                 log::warn!("packet {}: code=error_answer", packet.0);
-                self.stage.see(Seen::Ended(packet, End::Dismissed));
-                self.stage.abandoned(packet);
+                self.shared.see(Seen::Ended(packet, End::Dismissed));
+                self.shared.abandoned(packet);
             }
         }
     }
@@ -198,15 +198,15 @@
 
 /// Clients that send what cannot be read, so many a second; each must hear an error or a close within three
 /// seconds.
-pub async fn rude(stage: Rc<Stage>, crew: Rc<Crew>, struck: Struck) {
-    sleep_until(stage.instant(struck.from)).await;
+pub async fn rude(shared: Rc<SharedState>, crew: Rc<Crew>, struck: Struck) {
+    sleep_until(shared.instant(struck.from)).await;
     let gap = Duration::from_secs(1) / struck.trouble.count.unwrap_or(10).max(1) as u32;
-    let mut rng = chance(stage.plan.seed, 7);
+    let mut rng = chance(shared.plan.seed, 7);
     let mut nth = 0;
-    while stage.now() < struck.until {
+    while shared.now() < struck.until {
         let bytes = garbage(nth, &mut rng);
         let sender = struck.senders[nth % struck.senders.len()];
-        let (stage, address) = (stage.clone(), crew.address(sender));
+        let (shared, address) = (shared.clone(), crew.address(sender));
         spawn_local(async move {
             let Ok(mut stream) = TcpStream::connect(address).await else { return };
             if stream.write_all(&bytes).await.is_err() {
@@ -214,7 +214,7 @@
             }
             let mut answer = [0u8; 256];
             if timeout(RUDE, stream.read(&mut answer)).await.is_err() {
-                stage.tally.borrow_mut().count(Count::Ignored);
+                shared.tally.borrow_mut().count(Count::Ignored);
             }
         });
         nth += 1;
--- a/crates/sailcart-lab/src/sockets/discovery.rs
+++ b/crates/sailcart-lab/src/sockets/discovery.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::http::{Call, Inbox, answer, bare};
-use super::stage::Stage;
+use super::shared::SharedState;
 use super::wording::entry;
 use crate::experiment::TroubleKind;
 use crate::plan::{Change, SenderId, Standing};
@@ -23,42 +23,42 @@
 const LONGEST_HOLD_MS: u64 = 60_000;
 
 struct Agent {
-    stage: Rc<Stage>,
+    shared: Rc<SharedState>,
     sender: SenderId,
     /// When each change reaches this agent, in that order; the list has version 1 before the first.
     news: Vec<(Duration, Change)>,
     addresses: Rc<[SocketAddr]>,
 }
 
-pub async fn open(stage: &Rc<Stage>, addresses: &Rc<[SocketAddr]>) -> io::Result<Vec<SocketAddr>> {
+pub async fn open(shared: &Rc<SharedState>, addresses: &Rc<[SocketAddr]>) -> io::Result<Vec<SocketAddr>> {
     let mut all = Vec::new();
-    for sender in 0..stage.plan.experiment.senders.count {
+    for sender in 0..shared.plan.experiment.senders.count {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        all.push(listen(stage, addresses, SenderId(sender), listener)?);
+        all.push(listen(shared, addresses, SenderId(sender), listener)?);
     }
     Ok(all)
 }
 
 /// One agent at a chosen address.
 pub async fn open_at(
-    stage: &Rc<Stage>,
+    shared: &Rc<SharedState>,
     addresses: &Rc<[SocketAddr]>,
     at: SocketAddr,
 ) -> io::Result<SocketAddr> {
-    listen(stage, addresses, SenderId(0), TcpListener::bind(at).await?)
+    listen(shared, addresses, SenderId(0), TcpListener::bind(at).await?)
 }
 
 fn listen(
-    stage: &Rc<Stage>,
+    shared: &Rc<SharedState>,
     addresses: &Rc<[SocketAddr]>,
     sender: SenderId,
     listener: TcpListener,
 ) -> io::Result<SocketAddr> {
     let address = listener.local_addr()?;
     let mut news: Vec<(Duration, Change)> =
-        stage.plan.changes.iter().map(|change| (stage.plan.told_at(change, sender), *change)).collect();
+        shared.plan.changes.iter().map(|change| (shared.plan.told_at(change, sender), *change)).collect();
     news.sort_by_key(|(at, change)| (*at, change.at, change.endpoint));
-    let agent = Rc::new(Agent { stage: stage.clone(), sender, news, addresses: addresses.clone() });
+    let agent = Rc::new(Agent { shared: shared.clone(), sender, news, addresses: addresses.clone() });
     spawn_local(async move {
         loop {
             match listener.accept().await {
@@ -90,14 +90,14 @@
         let lines: Option<Vec<_>> = text.lines().map(|line| self.notice(line)).collect();
         let Some(lines) = lines else { return answer("400 Bad Request", "", "") };
         for (packet, end, wait) in lines {
-            self.stage.ended(packet, end, wait);
+            self.shared.ended(packet, end, wait);
         }
         bare("204 No Content")
     }
 
     fn notice(&self, line: &str) -> Option<(sailcart::PacketId, End, Duration)> {
         let notice: Value = serde_json::from_str(line).ok()?;
-        let packet = self.stage.known(notice.get("message")?.as_str()?)?;
+        let packet = self.shared.known(notice.get("message")?.as_str()?)?;
         let end = match notice.get("outcome")?.as_str()? {
             "given_up" => End::Scrapped,
             "handed_back" => End::Dismissed,
@@ -114,13 +114,13 @@
 
     /// It says nothing while discovery is down.
     async fn while_silent(&self) {
-        let silent = self.stage.plan.struck.iter().find(|struck| {
+        let silent = self.shared.plan.struck.iter().find(|struck| {
             let here =
                 struck.trouble.kind == TroubleKind::ListSilent && struck.senders.contains(&self.sender);
-            here && struck.stands(self.stage.now())
+            here && struck.stands(self.shared.now())
         });
         if let Some(silent) = silent {
-            sleep_until(self.stage.instant(silent.until)).await;
+            sleep_until(self.shared.instant(silent.until)).await;
         }
     }
 
@@ -129,10 +129,10 @@
         let from = query(call, "from=").filter(|from| (1..=self.news.len() as u64 + 1).contains(from));
         let hold = Duration::from_millis(query(call, "hold_ms=").unwrap_or(0).min(LONGEST_HOLD_MS));
         self.next_news(from, Instant::now() + hold).await;
-        let reached = self.reached(self.stage.now());
+        let reached = self.reached(self.shared.now());
         let mut lines = self.lines(from, reached);
         for (endpoint, standing) in &lines {
-            self.stage.see(match standing {
+            self.shared.see(match standing {
                 Standing::Ready => Seen::ToldOn(self.sender, *endpoint),
                 _ => Seen::ToldOff(self.sender, *endpoint),
             });
@@ -141,7 +141,7 @@
             lines.retain(|(_, standing)| *standing != Standing::Gone);
         }
         let entries: Vec<Value> =
-            lines.iter().map(|(e, s)| entry(&self.stage.plan, *e, *s, &self.addresses)).collect();
+            lines.iter().map(|(e, s)| entry(&self.shared.plan, *e, *s, &self.addresses)).collect();
         let list = json!({"generation": reached + 1, "reset": from.is_none(), "instances": entries});
         answer("200 OK", "", &list.to_string())
     }
@@ -149,8 +149,8 @@
     /// Sleeps until the next change that this sender has not, or as long as it asked; not where it asks for all.
     async fn next_news(&self, from: Option<u64>, until: Instant) {
         let Some(from) = from else { return };
-        if self.reached(self.stage.now()) < from as usize {
-            let next = self.news.get(from as usize - 1).map(|(at, _)| self.stage.instant(*at));
+        if self.reached(self.shared.now()) < from as usize {
+            let next = self.news.get(from as usize - 1).map(|(at, _)| self.shared.instant(*at));
             sleep_until(next.map_or(until, |next| next.min(until))).await;
             self.while_silent().await;
         }
@@ -161,7 +161,7 @@
         let told = from.map_or(0, |from| (from as usize - 1).min(reached));
         let mut lines = Vec::new();
         if from.is_none() {
-            let first = self.stage.plan.places.iter().filter(|place| place.from.is_zero());
+            let first = self.shared.plan.places.iter().filter(|place| place.from.is_zero());
             lines.extend(first.map(|place| (place.endpoint, Standing::Ready)));
         }
         for (_, change) in &self.news[told..reached] {
--- a/crates/sailcart-lab/src/sockets/mod.rs
+++ b/crates/sailcart-lab/src/sockets/mod.rs
@@ -6,7 +6,7 @@
 mod http;
 mod process;
 mod receiver;
-mod stage;
+mod shared;
 mod wording;
 
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 use crate::results::Outcome;
 use process::Crew;
 pub use process::keep;
-use stage::Stage;
+use shared::SharedState;
 
 /// How long all senders may take to answer their first `PING`.
 const READY: Duration = Duration::from_secs(10);
@@ -57,53 +57,53 @@
     program: PathBuf,
     progress: &mut dyn FnMut(Duration),
 ) -> Result<Outcome, Fault> {
-    let stage = Stage::new(plan, log);
-    let plan = stage.plan.clone();
-    let addresses = receiver::open(&stage).await.map_err(fault("receivers"))?;
-    let discovery = discovery::open(&stage, &addresses).await.map_err(fault("discovery"))?;
-    let crew = Crew::new(&stage, program, &discovery, &addresses).await?;
+    let shared = SharedState::new(plan, log);
+    let plan = shared.plan.clone();
+    let addresses = receiver::open(&shared).await.map_err(fault("receivers"))?;
+    let discovery = discovery::open(&shared, &addresses).await.map_err(fault("discovery"))?;
+    let crew = Crew::new(&shared, program, &discovery, &addresses).await?;
     for sender in 0..plan.experiment.senders.count {
         crew.start(SenderId(sender)).await?;
     }
     for sender in 0..plan.experiment.senders.count {
         crew.ready(SenderId(sender), READY).await?;
     }
-    stage.begin();
-    receiver::troubles(&stage);
+    shared.begin();
+    receiver::troubles(&shared);
     spawn_local(crew.clone().watch());
-    let clients = clients::Clients::new(&stage, &crew);
+    let clients = clients::Clients::new(&shared, &crew);
     spawn_local(clients.clone().hand_all_in());
-    lives(&stage, &crew);
+    lives(&shared, &crew);
     if let Some(struck) = plan.struck.iter().find(|s| s.trouble.kind == TroubleKind::BadClients) {
-        spawn_local(clients::rude(stage.clone(), crew.clone(), struck.clone()));
+        spawn_local(clients::rude(shared.clone(), crew.clone(), struck.clone()));
     }
     let (span, end) = (plan.experiment.span, plan.end());
     let mut sampled = Duration::ZERO;
-    while stage.now() < end && !(stage.now() > span && stage.settled()) {
+    while shared.now() < end && !(shared.now() > span && shared.settled()) {
         sleep(LOOK).await;
-        progress(stage.now());
-        if stage.now() >= sampled {
+        progress(shared.now());
+        if shared.now() >= sampled {
             sampled += Duration::from_secs(1);
-            stage.tally.borrow_mut().sample(stage.now());
+            shared.tally.borrow_mut().sample(shared.now());
             crew.sample();
         }
     }
     let cost = crew.end().await;
-    Ok(stage.finish(Mode::Sockets, PolicyName::Sailcart, cost))
+    Ok(shared.finish(Mode::Sockets, PolicyName::Sailcart, cost))
 }
 
 /// Kills, restarts in waves and reloads, each at its time.
-fn lives(stage: &Rc<Stage>, crew: &Rc<Crew>) {
-    for struck in stage.plan.struck.iter().filter(|struck| struck.trouble.kind == TroubleKind::Kill) {
+fn lives(shared: &Rc<SharedState>, crew: &Rc<Crew>) {
+    for struck in shared.plan.struck.iter().filter(|struck| struck.trouble.kind == TroubleKind::Kill) {
         for (at, sender, down) in struck.deaths(RESTART) {
-            let (crew, due) = (crew.clone(), stage.instant(at));
+            let (crew, due) = (crew.clone(), shared.instant(at));
             spawn_local(async move {
                 sleep_until(due).await;
                 crew.restart(sender, None, down).await;
             });
         }
     }
-    for struck in &stage.plan.struck {
+    for struck in &shared.plan.struck {
         let wave = match struck.trouble.kind {
             TroubleKind::Roll => struck.trouble.count.unwrap_or(1).max(1),
             TroubleKind::Reload => struck.senders.len().max(1),
@@ -116,7 +116,7 @@
                 _ => struck.from,
             };
             for sender in senders.iter().copied() {
-                let (crew, due) = (crew.clone(), stage.instant(begins));
+                let (crew, due) = (crew.clone(), shared.instant(begins));
                 let kind = struck.trouble.kind;
                 spawn_local(async move {
                     sleep_until(due).await;
@@ -136,22 +136,22 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(fault("runtime"))?;
     let alone = async {
-        let stage = Stage::alone(plan.clone());
-        let addresses = receiver::open(&stage).await.map_err(fault("receivers"))?;
-        let own = discovery::open_at(&stage, &addresses, discovery).await.map_err(fault("discovery"))?;
+        let shared = SharedState::alone(plan.clone());
+        let addresses = receiver::open(&shared).await.map_err(fault("receivers"))?;
+        let own = discovery::open_at(&shared, &addresses, discovery).await.map_err(fault("discovery"))?;
         let state = folder.join("state");
         std::fs::create_dir_all(&state).map_err(fault("folder"))?;
-        let config = wording::config(&stage.plan, SenderId(0), sender, own, &state, &addresses);
+        let config = wording::config(&shared.plan, SenderId(0), sender, own, &state, &addresses);
         let file = folder.join("config.json");
         std::fs::write(&file, config.to_string()).map_err(fault("folder"))?;
-        stage.begin();
-        receiver::troubles(&stage);
-        println!("{} endpoints, discovery and notices at {own}", stage.plan.places.len());
+        shared.begin();
+        receiver::troubles(&shared);
+        println!("{} endpoints, discovery and notices at {own}", shared.plan.places.len());
         println!("start a sender: sailcart serve --config {}", file.display());
         let mut told = String::new();
         loop {
             sleep(Duration::from_secs(1)).await;
-            let words = stage.standing();
+            let words = shared.standing();
             if words != told {
                 println!("{words}");
                 told = words;
@@ -166,18 +166,18 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(fault("runtime"))?;
     let play = async {
-        let stage = Stage::alone(plan.clone());
-        let crew = Crew::elsewhere(&stage, to);
+        let shared = SharedState::alone(plan.clone());
+        let crew = Crew::elsewhere(&shared, to);
         crew.ready(SenderId(0), READY).await?;
-        stage.begin();
-        let clients = clients::Clients::new(&stage, &crew);
+        shared.begin();
+        let clients = clients::Clients::new(&shared, &crew);
         spawn_local(clients.clone().hand_all_in());
-        let end = stage.instant(stage.plan.experiment.span + Duration::from_secs(1));
+        let end = shared.instant(shared.plan.experiment.span + Duration::from_secs(1));
         while Instant::now() < end {
             sleep(LOOK).await;
-            progress(stage.now());
+            progress(shared.now());
         }
-        Ok(stage.finish(Mode::Sockets, PolicyName::Sailcart, Vec::new()))
+        Ok(shared.finish(Mode::Sockets, PolicyName::Sailcart, Vec::new()))
     };
     LocalSet::new().block_on(&runtime, play)
 }
--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -18,7 +18,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::stage::Stage;
+use super::shared::SharedState;
 use super::wording;
 use crate::experiment::Fault;
 use crate::plan::SenderId;
@@ -69,7 +69,7 @@
 }
 
 pub struct Crew {
-    stage: Rc<Stage>,
+    shared: Rc<SharedState>,
     program: PathBuf,
     posts: Vec<Post>,
     /// Configurations, journals and logs; gone with this run.
@@ -78,7 +78,7 @@
 
 impl Crew {
     pub async fn new(
-        stage: &Rc<Stage>,
+        shared: &Rc<SharedState>,
         program: PathBuf,
         discovery: &[SocketAddr],
         addresses: &[SocketAddr],
@@ -94,17 +94,17 @@
             let state = folder.path().join(format!("state-{sender}"));
             std::fs::create_dir(&state).map_err(super::fault("folder"))?;
             let config = folder.path().join(format!("sender-{sender}.json"));
-            let text = wording::config(&stage.plan, SenderId(sender), listen, *own, &state, addresses);
+            let text = wording::config(&shared.plan, SenderId(sender), listen, *own, &state, addresses);
             std::fs::write(&config, text.to_string()).map_err(super::fault("folder"))?;
             posts.push(Post::new(listen, config));
         }
-        Ok(Rc::new(Crew { stage: stage.clone(), program, posts, _folder: Some(folder) }))
+        Ok(Rc::new(Crew { shared: shared.clone(), program, posts, _folder: Some(folder) }))
     }
 
     /// A sender that somebody else started.
-    pub fn elsewhere(stage: &Rc<Stage>, at: SocketAddr) -> Rc<Crew> {
+    pub fn elsewhere(shared: &Rc<SharedState>, at: SocketAddr) -> Rc<Crew> {
         let posts = vec![Post::new(at, PathBuf::new())];
-        Rc::new(Crew { stage: stage.clone(), program: PathBuf::new(), posts, _folder: None })
+        Rc::new(Crew { shared: shared.clone(), program: PathBuf::new(), posts, _folder: None })
     }
 
     pub fn address(&self, sender: SenderId) -> SocketAddr {
@@ -171,9 +171,9 @@
         if !post.wanted.replace(false) {
             return; // it is on its way back from another
         }
-        self.stage.tally.borrow_mut().count(Count::Kills);
+        self.shared.tally.borrow_mut().count(Count::Kills);
         self.measure(sender);
-        self.stage.see(Seen::SenderDown(sender));
+        self.shared.see(Seen::SenderDown(sender));
         if let Some(within) = told {
             let _ = kill(pid, Signal::SIGTERM);
             sleep(Duration::from_millis(300)).await;
@@ -188,9 +188,9 @@
         sleep(down).await;
         match self.start(sender).await {
             Ok(()) if self.ready(sender, Duration::from_secs(10)).await.is_ok() => {
-                self.stage.see(Seen::SenderUp(sender));
+                self.shared.see(Seen::SenderUp(sender));
             }
-            _ => self.stage.tally.borrow_mut().count(Count::Crashes),
+            _ => self.shared.tally.borrow_mut().count(Count::Crashes),
         }
     }
 
@@ -219,7 +219,7 @@
                 };
                 if let Some(status) = ended {
                     log::error!("sender {at}: code=crashed {status}");
-                    self.stage.tally.borrow_mut().count(Count::Crashes);
+                    self.shared.tally.borrow_mut().count(Count::Crashes);
                     self.restart(SenderId(at), None, Duration::from_millis(600)).await;
                 }
             }
--- a/crates/sailcart-lab/src/sockets/receiver.rs
+++ b/crates/sailcart-lab/src/sockets/receiver.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::http::{Inbox, answer};
-use super::stage::Stage;
+use super::shared::SharedState;
 use super::wording::{named, written};
 use crate::plan::SenderId;
 use crate::receivers::{Answer, Connect, Reception, TroubleSchedule};
@@ -25,9 +25,9 @@
 const PLUGS: usize = 4;
 
 /// Opens every address of the plan.
-pub async fn open(stage: &Rc<Stage>) -> io::Result<Rc<[SocketAddr]>> {
+pub async fn open(shared: &Rc<SharedState>) -> io::Result<Rc<[SocketAddr]>> {
     let mut addresses: Vec<SocketAddr> = Vec::new();
-    for place in &stage.plan.places {
+    for place in &shared.plan.places {
         if place.address != place.endpoint {
             addresses.push(addresses[place.address.0 as usize]);
             continue;
@@ -43,7 +43,7 @@
         let address = listener.local_addr()?;
         addresses.push(address);
         spawn_local(
-            Rc::new(Endpoint { stage: stage.clone(), address, first: place.endpoint }).live(listener),
+            Rc::new(Endpoint { shared: shared.clone(), address, first: place.endpoint }).live(listener),
         );
     }
     Ok(addresses.into())
@@ -57,22 +57,22 @@
 }
 
 /// Tells the watcher when outages begin, and who must have met one.
-pub fn troubles(stage: &Rc<Stage>) {
-    let troubles = TroubleSchedule::new(&stage.plan);
-    for place in &stage.plan.places {
-        let gate = stage.gate(place.endpoint);
+pub fn troubles(shared: &Rc<SharedState>) {
+    let troubles = TroubleSchedule::new(&shared.plan);
+    for place in &shared.plan.places {
+        let gate = shared.gate(place.endpoint);
         for (from, until) in troubles.outages(place.endpoint) {
-            let (stage, endpoint) = (stage.clone(), place.endpoint);
+            let (shared, endpoint) = (shared.clone(), place.endpoint);
             spawn_local(async move {
-                sleep_until(stage.instant(from)).await;
-                stage.see(Seen::OutageFrom(gate));
+                sleep_until(shared.instant(from)).await;
+                shared.see(Seen::OutageFrom(gate));
                 let closed = {
-                    let conditions = stage.receivers.borrow().conditions(from, endpoint);
+                    let conditions = shared.receivers.borrow().conditions(from, endpoint);
                     conditions.down || conditions.black_hole
                 };
-                sleep_until(stage.instant(until)).await;
+                sleep_until(shared.instant(until)).await;
                 if closed {
-                    stage.missed(gate, &[endpoint]);
+                    shared.missed(gate, &[endpoint]);
                 }
             });
         }
@@ -81,7 +81,7 @@
 
 /// One address, and whoever has it over time.
 struct Endpoint {
-    stage: Rc<Stage>,
+    shared: Rc<SharedState>,
     address: SocketAddr,
     first: EndpointId,
 }
@@ -99,12 +99,12 @@
     fn current(&self, now: Duration) -> Option<EndpointId> {
         let at_it = |place: &&crate::plan::Place| place.address == self.first;
         let there = |place: &&crate::plan::Place| place.from <= now && now < place.gone;
-        self.stage.plan.places.iter().filter(at_it).find(there).map(|place| place.endpoint)
+        self.shared.plan.places.iter().filter(at_it).find(there).map(|place| place.endpoint)
     }
 
     fn door(&self, now: Duration) -> Door {
         let Some(endpoint) = self.current(now) else { return Door::Closed };
-        let conditions = self.stage.receivers.borrow().conditions(now, endpoint);
+        let conditions = self.shared.receivers.borrow().conditions(now, endpoint);
         match (conditions.down, conditions.black_hole) {
             (true, _) => Door::Closed,
             (_, true) => Door::BlackHole,
@@ -114,19 +114,19 @@
 
     /// Until when the door stays as it is, at least.
     fn until(&self, now: Duration) -> Option<Duration> {
-        let places = self.stage.plan.places.iter().filter(|place| place.address == self.first);
-        let receivers = self.stage.receivers.borrow();
-        places.filter_map(|place| receivers.next_change(&self.stage.plan, now, place.endpoint)).min()
+        let places = self.shared.plan.places.iter().filter(|place| place.address == self.first);
+        let receivers = self.shared.receivers.borrow();
+        places.filter_map(|place| receivers.next_change(&self.shared.plan, now, place.endpoint)).min()
     }
 
     async fn live(self: Rc<Self>, first: TcpListener) {
         let mut open = Some(first);
         loop {
-            let now = self.stage.now();
+            let now = self.shared.now();
             let door = self.door(now);
             let change = self.until(now);
             let at = change
-                .map_or(self.stage.instant(now + Duration::from_secs(3600)), |at| self.stage.instant(at));
+                .map_or(self.shared.instant(now + Duration::from_secs(3600)), |at| self.shared.instant(at));
             // The clock starts anew when all senders are ready, so a long sleep is cut.
             let look = tokio::time::Instant::now()
                 + Duration::from_millis(if change.is_some() { 500 } else { 60_000 });
@@ -151,7 +151,7 @@
                     drop(open.take());
                     let hole = self.reopen(0).await;
                     let plugs = self.plug().await;
-                    while self.door(self.stage.now()) == Door::BlackHole {
+                    while self.door(self.shared.now()) == Door::BlackHole {
                         sleep_until(at.min(tokio::time::Instant::now() + Duration::from_millis(20))).await;
                     }
                     drop((hole, plugs));
@@ -200,19 +200,19 @@
     }
 
     async fn converse(self: Rc<Self>, stream: TcpStream) {
-        let now = self.stage.now();
+        let now = self.shared.now();
         let Some(endpoint) = self.current(now) else { return cut(stream) };
-        let connect = self.stage.receivers.borrow_mut().connect(&self.stage.plan, now, endpoint);
+        let connect = self.shared.receivers.borrow_mut().connect(&self.shared.plan, now, endpoint);
         let Connect::Up(handshake) = connect else { return cut(stream) };
-        self.stage.tally.borrow_mut().count(Count::Connections);
+        self.shared.tally.borrow_mut().count(Count::Connections);
         if !handshake.is_zero() {
             sleep(handshake).await;
         }
         let _ = stream.set_nodelay(true);
-        let mut talk = Talk { stage: &self.stage, endpoint, stream, inbox: Inbox::default() };
+        let mut talk = Talk { shared: &self.shared, endpoint, stream, inbox: Inbox::default() };
         let broken = talk.calls().await;
         let stream = talk.stream;
-        self.stage.receivers.borrow_mut().disconnected(endpoint);
+        self.shared.receivers.borrow_mut().disconnected(endpoint);
         if broken {
             cut(stream);
         }
@@ -227,7 +227,7 @@
 
 /// One connection's calls, one after the other.
 struct Talk<'a> {
-    stage: &'a Rc<Stage>,
+    shared: &'a Rc<SharedState>,
     endpoint: EndpointId,
     stream: TcpStream,
     inbox: Inbox,
@@ -235,47 +235,47 @@
 
 impl Talk<'_> {
     /// When the endpoint itself stops, with whatever is open.
-    async fn stops(stage: &Rc<Stage>, endpoint: EndpointId) {
+    async fn stops(shared: &Rc<SharedState>, endpoint: EndpointId) {
         loop {
-            let now = stage.now();
-            if !stage.receivers.borrow().reachable(&stage.plan, now, endpoint) {
+            let now = shared.now();
+            if !shared.receivers.borrow().reachable(&shared.plan, now, endpoint) {
                 return;
             }
-            let next = stage.receivers.borrow().next_change(&stage.plan, now, endpoint);
+            let next = shared.receivers.borrow().next_change(&shared.plan, now, endpoint);
             let most = tokio::time::Instant::now() + Duration::from_millis(500);
-            sleep_until(next.map_or(most, |next| stage.instant(next).min(most))).await;
+            sleep_until(next.map_or(most, |next| shared.instant(next).min(most))).await;
         }
     }
 
     /// True if it ends by a reset.
     async fn calls(&mut self) -> bool {
-        let idle = self.stage.plan.group(self.stage.plan.place(self.endpoint).destination).idle_close;
+        let idle = self.shared.plan.group(self.shared.plan.place(self.endpoint).destination).idle_close;
         loop {
             let call = tokio::select! {
                 call = timeout(idle, self.inbox.call(&mut self.stream)) => call,
-                () = Self::stops(self.stage, self.endpoint) => return true,
+                () = Self::stops(self.shared, self.endpoint) => return true,
             };
             let call = match call {
                 Err(_) => return self.inbox.begun(),
                 Ok(Ok(Some(call))) => call,
                 Ok(Ok(None)) => return false,
                 Ok(Err(fault)) if fault.kind() == io::ErrorKind::InvalidData => {
-                    self.stage.tally.borrow_mut().count(Count::Strays);
+                    self.shared.tally.borrow_mut().count(Count::Strays);
                     let _ = self.stream.write_all(&answer("400 Bad Request", "", "")).await;
                     return false;
                 }
                 Ok(Err(_)) => return true,
             };
-            let now = self.stage.now();
-            if self.stage.receivers.borrow_mut().cuts_before(now, self.endpoint) {
+            let now = self.shared.now();
+            if self.shared.receivers.borrow_mut().cuts_before(now, self.endpoint) {
                 return true;
             }
             let names = named(&call);
             let packets: Option<Vec<(PacketId, Option<String>)>> = names.as_ref().and_then(|names| {
-                names.iter().map(|(id, mark)| Some((self.stage.known(id)?, mark.clone()))).collect()
+                names.iter().map(|(id, mark)| Some((self.shared.known(id)?, mark.clone()))).collect()
             });
             let (Some(names), Some(packets)) = (names, packets) else {
-                self.stage.tally.borrow_mut().count(Count::Strays);
+                self.shared.tally.borrow_mut().count(Count::Strays);
                 let _ = self.stream.write_all(&answer("400 Bad Request", "", "")).await;
                 return false;
             };
@@ -290,18 +290,18 @@
 
     /// A call's last byte has come.
     async fn call(&mut self, now: Duration, ids: &[String], packets: &[(PacketId, Option<String>)]) -> After {
-        let stage = self.stage;
-        let (id, gate) = (stage.next_call(), stage.gate(self.endpoint));
-        let destination = stage.plan.place(self.endpoint).destination;
-        let sender = stage.sender(packets[0].0);
-        let pieces: Vec<_> = packets.iter().map(|(id, mark)| stage.piece(*id, mark.as_deref())).collect();
-        let reception = stage.receivers.borrow_mut().arrive(&stage.plan, now, self.endpoint, &pieces);
-        stage.tally.borrow_mut().dispatched(now, destination, packets.len());
-        stage.tally.borrow_mut().calls_out(destination, true);
+        let shared = self.shared;
+        let (id, gate) = (shared.next_call(), shared.gate(self.endpoint));
+        let destination = shared.plan.place(self.endpoint).destination;
+        let sender = shared.sender(packets[0].0);
+        let pieces: Vec<_> = packets.iter().map(|(id, mark)| shared.piece(*id, mark.as_deref())).collect();
+        let reception = shared.receivers.borrow_mut().arrive(&shared.plan, now, self.endpoint, &pieces);
+        shared.tally.borrow_mut().dispatched(now, destination, packets.len());
+        shared.tally.borrow_mut().calls_out(destination, true);
         let numbers: Vec<PacketId> = packets.iter().map(|(id, _)| *id).collect();
         self.begin(id, sender, gate, &numbers, &reception);
         let after = self.answer(id, ids, &numbers, reception).await;
-        stage.tally.borrow_mut().calls_out(destination, false);
+        shared.tally.borrow_mut().calls_out(destination, false);
         after
     }
 
@@ -314,12 +314,12 @@
         reception: &Reception,
     ) {
         let packets = packets.to_vec();
-        self.stage.see(Seen::Came { call, sender, endpoint: self.endpoint, gate, packets });
+        self.shared.see(Seen::Came { call, sender, endpoint: self.endpoint, gate, packets });
         if reception.effects.contains(&true) {
-            self.stage.see(Seen::Ran(call, reception.effects.clone()));
+            self.shared.see(Seen::Ran(call, reception.effects.clone()));
         }
         if reception.fell {
-            self.stage.see(Seen::Fell(gate));
+            self.shared.see(Seen::Fell(gate));
         }
     }
 
@@ -340,7 +340,7 @@
         };
         // What is told must stand before the sender can act on it.
         let heard = self.heard(&answer, packets);
-        self.stage.see(Seen::Over { call: id, heard });
+        self.shared.see(Seen::Over { call: id, heard });
         // A spoilt answer may be more than its reader takes: it closes, or this gives up soon.
         let wrote = timeout(Duration::from_secs(1), self.stream.write_all(&bytes)).await;
         match (&answer, wrote) {
@@ -357,29 +357,29 @@
     async fn interrupted(&self, due: Option<Duration>) -> Option<(Count, After)> {
         let due = async {
             match due {
-                Some(at) => sleep_until(self.stage.instant(at)).await,
+                Some(at) => sleep_until(self.shared.instant(at)).await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
             () = due => None,
             () = gone(&self.stream) => Some((Count::Unanswered, After::Close)),
-            () = Self::stops(self.stage, self.endpoint) => Some((Count::Errors, After::Reset)),
+            () = Self::stops(self.shared, self.endpoint) => Some((Count::Errors, After::Reset)),
         }
     }
 
     /// A call is over without an answer.
     fn unanswered(&self, id: CallId, count: Count, after: After) -> After {
-        self.stage.tally.borrow_mut().count(count);
-        self.stage.see(Seen::Over { call: id, heard: Heard::Unsure });
+        self.shared.tally.borrow_mut().count(count);
+        self.shared.see(Seen::Over { call: id, heard: Heard::Unsure });
         after
     }
 
     /// What the sender will have heard, and which packets are delivered by it.
     fn heard(&self, answer: &Answer, packets: &[PacketId]) -> Heard {
-        let stage = self.stage;
-        let done = |packet: &PacketId| stage.ended(*packet, End::Done, Duration::ZERO);
-        let count = |what| stage.tally.borrow_mut().count(what);
+        let shared = self.shared;
+        let done = |packet: &PacketId| shared.ended(*packet, End::Done, Duration::ZERO);
+        let count = |what| shared.tally.borrow_mut().count(what);
         match answer {
             Answer::Done => {
                 packets.iter().for_each(done);
@@ -390,8 +390,8 @@
                 Heard::Done
             }
             Answer::Full(wait) => {
-                let destination = stage.plan.place(self.endpoint).destination;
-                stage.tally.borrow_mut().refused(stage.now(), destination);
+                let destination = shared.plan.place(self.endpoint).destination;
+                shared.tally.borrow_mut().refused(shared.now(), destination);
                 Heard::Full(*wait)
             }
             Answer::Mixed(each, wait) => {
--- a/crates/sailcart-lab/src/sockets/stage.rs
+++ b/crates/sailcart-lab/src/sockets/shared.rs
@@ -26,7 +26,7 @@
     pub end: Option<End>,
 }
 
-pub struct Stage {
+pub struct SharedState {
     pub plan: Rc<Plan>,
     start: Cell<Instant>,
     pub receivers: RefCell<Receivers>,
@@ -43,18 +43,18 @@
     pub again: RefCell<Vec<(OriginId, u32, Duration)>>,
 }
 
-impl Stage {
-    pub fn new(plan: Plan, log: Log) -> Rc<Stage> {
+impl SharedState {
+    pub fn new(plan: Plan, log: Log) -> Rc<SharedState> {
         Rc::new(Self::build(plan, log, None))
     }
 
     /// Without clients, or without receivers, of one's own.
-    pub fn alone(plan: Plan) -> Rc<Stage> {
+    pub fn alone(plan: Plan) -> Rc<SharedState> {
         Rc::new(Self::build(plan, Log::default(), Some(RefCell::default())))
     }
 
-    fn build(plan: Plan, log: Log, alone: Option<RefCell<HashMap<String, OriginId>>>) -> Stage {
-        Stage {
+    fn build(plan: Plan, log: Log, alone: Option<RefCell<HashMap<String, OriginId>>>) -> SharedState {
+        SharedState {
             receivers: RefCell::new(Receivers::new(&plan)),
             watcher: RefCell::new(Watcher::new(&plan.experiment.rules)),
             tally: RefCell::new(Tally::new(&plan)),
