--- a/crates/sailcart-lab/src/sockets/clients.rs
+++ b/crates/sailcart-lab/src/sockets/clients.rs
@@ -17,8 +17,8 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::process::Crew;
+use super::protocol::put;
 use super::shared::SharedState;
-use super::wording::put;
 use crate::experiment::choose_by_key;
 use crate::plan::{OriginId, SenderId, Struck, chance};
 use crate::results::tally::Count;
--- a/crates/sailcart-lab/src/sockets/discovery.rs
+++ b/crates/sailcart-lab/src/sockets/discovery.rs
@@ -13,8 +13,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::http::{Call, Inbox, answer, bare};
+use super::protocol::entry;
 use super::shared::SharedState;
-use super::wording::entry;
 use crate::experiment::TroubleKind;
 use crate::plan::{Change, SenderId, Standing};
 use crate::watcher::{End, Seen};
--- a/crates/sailcart-lab/src/sockets/mod.rs
+++ b/crates/sailcart-lab/src/sockets/mod.rs
@@ -5,9 +5,9 @@
 mod discovery;
 mod http;
 mod process;
+mod protocol;
 mod receiver;
 mod shared;
-mod wording;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -141,7 +141,7 @@
         let own = discovery::open_at(&shared, &addresses, discovery).await.map_err(fault("discovery"))?;
         let state = folder.join("state");
         std::fs::create_dir_all(&state).map_err(fault("folder"))?;
-        let config = wording::config(&shared.plan, SenderId(0), sender, own, &state, &addresses);
+        let config = protocol::config(&shared.plan, SenderId(0), sender, own, &state, &addresses);
         let file = folder.join("config.json");
         std::fs::write(&file, config.to_string()).map_err(fault("folder"))?;
         shared.begin();
--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -18,8 +18,8 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::protocol;
 use super::shared::SharedState;
-use super::wording;
 use crate::experiment::Fault;
 use crate::plan::SenderId;
 use crate::results::Cost;
@@ -94,7 +94,7 @@
             let state = folder.path().join(format!("state-{sender}"));
             std::fs::create_dir(&state).map_err(super::fault("folder"))?;
             let config = folder.path().join(format!("sender-{sender}.json"));
-            let text = wording::config(&shared.plan, SenderId(sender), listen, *own, &state, addresses);
+            let text = protocol::config(&shared.plan, SenderId(sender), listen, *own, &state, addresses);
             std::fs::write(&config, text.to_string()).map_err(super::fault("folder"))?;
             posts.push(Post::new(listen, config));
         }
--- a/crates/sailcart-lab/src/sockets/receiver.rs
+++ b/crates/sailcart-lab/src/sockets/receiver.rs
@@ -12,8 +12,8 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::http::{Inbox, answer};
+use super::protocol::{named, written};
 use super::shared::SharedState;
-use super::wording::{named, written};
 use crate::plan::SenderId;
 use crate::receivers::{Answer, Connect, Reception, TroubleSchedule};
 use crate::results::tally::Count;
