--- a/crates/sailcart-lab/src/simulated/clients.rs
+++ b/crates/sailcart-lab/src/simulated/clients.rs
@@ -36,7 +36,7 @@
         self.parcels.push(Parcel::new(id, sender, tries, self.now, ends));
         self.see(Seen::Handed(Handed::new(self.plan, packet, id, sender)));
         self.tally.count(Count::HandedIn);
-        if self.posts[sender.0].held.len() >= self.plan.terms.hold {
+        if self.senders[sender.0].held.len() >= self.plan.terms.hold {
             let retry_after = self.plan.terms.retry_after;
             return self.end_packet(Ended { packet, end: End::Dismissed, retry_after });
         }
@@ -46,8 +46,8 @@
 
     /// By key where it has one, so that one sender gets all of a key while it runs; else any.
     fn choose_sender(&mut self, id: OriginId) -> Option<SenderId> {
-        let senders = (0..self.posts.len()).map(SenderId);
-        let taking: Vec<SenderId> = senders.filter(|sender| self.posts[sender.0].taking).collect();
+        let senders = (0..self.senders.len()).map(SenderId);
+        let taking: Vec<SenderId> = senders.filter(|sender| self.senders[sender.0].taking).collect();
         match self.plan.origins[id.0].key {
             Some(key) => choose_by_key(key, &taking),
             None => taking.choose(&mut self.rng).copied(),
@@ -89,7 +89,7 @@
     /// The packet's sender holds it no longer.
     pub fn release(&mut self, packet: PacketId) {
         let sender = self.parcel(packet).sender;
-        if self.posts[sender.0].held.remove(&packet) {
+        if self.senders[sender.0].held.remove(&packet) {
             self.tally.holds(self.origin_of(packet).destination, false);
         }
     }
--- a/crates/sailcart-lab/src/simulated/connections.rs
+++ b/crates/sailcart-lab/src/simulated/connections.rs
@@ -15,7 +15,7 @@
 impl World<'_> {
     /// Takes the connection that is idle for the shortest time, if it can still be used.
     pub fn reuse_idle(&mut self, sender: SenderId, endpoint: EndpointId) -> bool {
-        let Some(since) = self.posts[sender.0].idle.entry(endpoint).or_default().pop() else {
+        let Some(since) = self.senders[sender.0].idle.entry(endpoint).or_default().pop() else {
             return false;
         };
         let reachable = self.receivers.reachable(self.plan, self.now, endpoint);
@@ -28,12 +28,12 @@
 
     /// A connection is no longer in use, and is kept.
     pub fn keep(&mut self, sender: SenderId, endpoint: EndpointId) {
-        self.posts[sender.0].idle.entry(endpoint).or_default().push(self.now);
+        self.senders[sender.0].idle.entry(endpoint).or_default().push(self.now);
     }
 
     /// Closes all of a sender's idle connections to one endpoint.
     pub fn close_idle(&mut self, sender: SenderId, endpoint: EndpointId) {
-        let idle = self.posts[sender.0].idle.remove(&endpoint).unwrap_or_default();
+        let idle = self.senders[sender.0].idle.remove(&endpoint).unwrap_or_default();
         for _ in idle {
             self.receivers.disconnected(endpoint);
         }
@@ -41,7 +41,7 @@
 
     /// Closes all of a sender's idle connections.
     pub fn close_all_idle(&mut self, sender: SenderId) {
-        for (endpoint, idle) in std::mem::take(&mut self.posts[sender.0].idle) {
+        for (endpoint, idle) in std::mem::take(&mut self.senders[sender.0].idle) {
             for _ in idle {
                 self.receivers.disconnected(endpoint);
             }
@@ -50,8 +50,8 @@
 
     /// Closes connections that have been idle for too long.
     pub fn close_expired(&mut self) {
-        for post in &mut self.posts {
-            for (endpoint, idle) in &mut post.idle {
+        for state in &mut self.senders {
+            for (endpoint, idle) in &mut state.idle {
                 let keep = keep_idle(self.plan, *endpoint);
                 let before = idle.len();
                 idle.retain(|since| self.now < *since + keep);
--- a/crates/sailcart-lab/src/simulated/dispatching.rs
+++ b/crates/sailcart-lab/src/simulated/dispatching.rs
@@ -87,7 +87,7 @@
     /// The connection stands: the sender is asked once more, then the call is written.
     pub fn connected(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
-        let Some(policy) = &self.posts[call.sender.0].policy else { return };
+        let Some(policy) = &self.senders[call.sender.0].policy else { return };
         if !call.packets.iter().all(|packet| policy.may_still_go(self.now, *packet)) {
             return self.finish(id, Outcome::NoSlot);
         }
--- a/crates/sailcart-lab/src/simulated/lives.rs
+++ b/crates/sailcart-lab/src/simulated/lives.rs
@@ -14,23 +14,23 @@
 impl World<'_> {
     /// A life begins, unless the sender runs: with the list as it stands, and with what the journal holds.
     pub fn start(&mut self, sender: SenderId) {
-        if self.posts[sender.0].policy.is_some() {
+        if self.senders[sender.0].policy.is_some() {
             return;
         }
         let mut policy = (self.make_policy)(self.sender_seed(sender));
         let lines = self.plan.list_at(self.now);
         policy.list(self.now, true, &lines);
-        for packet in &self.posts[sender.0].held {
+        for packet in &self.senders[sender.0].held {
             policy.take(self.now, Packet { taken_on: true, ..self.describe(*packet) });
         }
-        self.posts[sender.0].begin(policy, self.now);
+        self.senders[sender.0].begin(policy, self.now);
         self.see_start(sender, &lines);
         self.request_round(sender);
     }
 
     /// Another seed for each sender and each of its lives.
     fn sender_seed(&self, sender: SenderId) -> u64 {
-        let life = u64::from(self.posts[sender.0].life);
+        let life = u64::from(self.senders[sender.0].life);
         let stream = FIRST_SENDER_STREAM + sender.0 as u64;
         chance(self.plan.seed ^ (life << 32), stream).random()
     }
@@ -46,7 +46,7 @@
 
     /// A sender that runs hears of a change of the list, which the plan holds at this place.
     pub fn list_change(&mut self, sender: SenderId, change: usize) {
-        let Some(policy) = &mut self.posts[sender.0].policy else {
+        let Some(policy) = &mut self.senders[sender.0].policy else {
             return; // it reads the whole list as it starts
         };
         let change = self.plan.changes[change];
@@ -62,7 +62,7 @@
 
     /// Dies without warning: what it knew is gone, its journal stays.
     pub fn kill(&mut self, sender: SenderId) {
-        if self.posts[sender.0].policy.is_none() {
+        if self.senders[sender.0].policy.is_none() {
             return;
         }
         for call in self.calls_of(sender) {
@@ -71,7 +71,7 @@
         self.close_all_idle(sender);
         self.tally.count(Count::Kills);
         self.see(Seen::SenderDown(sender));
-        for packet in self.posts[sender.0].end() {
+        for packet in self.senders[sender.0].end() {
             self.abandon(packet);
         }
     }
--- a/crates/sailcart-lab/src/simulated/mod.rs
+++ b/crates/sailcart-lab/src/simulated/mod.rs
@@ -51,7 +51,7 @@
 ) -> Outcome {
     let mut world = World::new(plan, log, make_policy);
     world.schedule();
-    for sender in 0..world.posts.len() {
+    for sender in 0..world.senders.len() {
         world.start(SenderId(sender));
     }
     world.play(progress);
@@ -85,7 +85,7 @@
             Event::Answered(call) => self.answered(call),
             Event::GiveUp(call, outcome) => self.give_up(call, outcome),
             Event::ListChange { sender, change } => self.list_change(sender, change),
-            Event::StopTaking(sender) => self.posts[sender.0].taking = false,
+            Event::StopTaking(sender) => self.senders[sender.0].taking = false,
             Event::Kill(sender) => self.kill(sender),
             Event::Start(sender) => self.start(sender),
             Event::OutageFrom(gate) => self.see(Seen::OutageFrom(gate)),
--- a/crates/sailcart-lab/src/simulated/outcomes.rs
+++ b/crates/sailcart-lab/src/simulated/outcomes.rs
@@ -104,7 +104,7 @@
             self.delivered(packet);
         }
         let elapsed = self.now - call.start;
-        if let Some(policy) = &mut self.posts[call.sender.0].policy {
+        if let Some(policy) = &mut self.senders[call.sender.0].policy {
             policy.outcome(self.now, packet, elapsed, outcome, over || done);
         }
     }
--- a/crates/sailcart-lab/src/simulated/reception.rs
+++ b/crates/sailcart-lab/src/simulated/reception.rs
@@ -83,7 +83,7 @@
     fn pass_report(&mut self, id: CallId, answer: &Answer) {
         let Some(call) = self.calls.get(&id).filter(|_| answer.is_readable()) else { return };
         let Stage::Arrived { report: Some(report), .. } = call.stage() else { return };
-        let policy = self.posts[call.sender.0].policy.as_mut();
+        let policy = self.senders[call.sender.0].policy.as_mut();
         if let Some((policy, packet)) = policy.zip(call.packets.first()) {
             policy.report(*packet, *report);
         }
--- a/crates/sailcart-lab/src/simulated/rounds.rs
+++ b/crates/sailcart-lab/src/simulated/rounds.rs
@@ -31,10 +31,10 @@
     /// A sender takes a packet that a client handed in.
     pub fn take(&mut self, sender: SenderId, packet: PacketId) {
         let taken = self.describe(packet);
-        let post = &mut self.posts[sender.0];
-        post.held.insert(packet);
-        post.fresh.push(packet);
-        if let Some(policy) = &mut post.policy {
+        let state = &mut self.senders[sender.0];
+        state.held.insert(packet);
+        state.fresh.push(packet);
+        if let Some(policy) = &mut state.policy {
             policy.take(self.now, taken);
         }
         self.request_round(sender);
@@ -59,19 +59,19 @@
 
     /// Something came in: a round is due, but not too soon after the last.
     pub fn request_round(&mut self, sender: SenderId) {
-        let post = &mut self.posts[sender.0];
-        let at = post.next_round.max(self.now);
-        if post.round_at.is_none_or(|due| due > at) {
-            post.round_at = Some(at);
-            self.queue.push(at, Event::Round { sender, life: post.life });
+        let state = &mut self.senders[sender.0];
+        let at = state.next_round.max(self.now);
+        if state.round_at.is_none_or(|due| due > at) {
+            state.round_at = Some(at);
+            self.queue.push(at, Event::Round { sender, life: state.life });
         }
     }
 
     /// A round that was asked for in a certain life of a sender; nothing if that life is over.
     pub fn round(&mut self, sender: SenderId, life: u32) {
-        let post = &self.posts[sender.0];
-        let lives_on = post.life == life && post.policy.is_some();
-        if !lives_on || post.round_at.is_none_or(|due| due > self.now) {
+        let state = &self.senders[sender.0];
+        let lives_on = state.life == life && state.policy.is_some();
+        if !lives_on || state.round_at.is_none_or(|due| due > self.now) {
             return;
         }
         let acts = self.decide(sender);
@@ -93,9 +93,9 @@
     fn decide(&mut self, sender: SenderId) -> Acts {
         let mut acts = Acts::default();
         let sight = Sight { plan: self.plan, receivers: &self.receivers, going: &self.going };
-        let post = &mut self.posts[sender.0];
-        post.begin_round(self.now, self.plan.experiment.senders.round);
-        if let Some(policy) = &mut post.policy {
+        let state = &mut self.senders[sender.0];
+        state.begin_round(self.now, self.plan.experiment.senders.round);
+        if let Some(policy) = &mut state.policy {
             policy.decide(self.now, &sight, &mut acts);
         }
         acts
@@ -103,20 +103,20 @@
 
     /// Has the sender woken when its policy asked for it, now or earlier.
     fn schedule_wake(&mut self, sender: SenderId, after: Option<Duration>) {
-        let post = &mut self.posts[sender.0];
+        let state = &mut self.senders[sender.0];
         if let Some(after) = after {
-            post.wake_by(self.now + after);
+            state.wake_by(self.now + after);
         }
-        if let Some(at) = post.wake_at {
-            let at = at.max(post.next_round);
-            post.round_at = Some(at);
-            self.queue.push(at, Event::Round { sender, life: post.life });
+        if let Some(at) = state.wake_at {
+            let at = at.max(state.next_round);
+            state.round_at = Some(at);
+            self.queue.push(at, Event::Round { sender, life: state.life });
         }
     }
 
     /// What was taken since the last round, and is not over, is written: its clients hear so.
     fn confirm_taken(&mut self, sender: SenderId) {
-        for packet in std::mem::take(&mut self.posts[sender.0].fresh) {
+        for packet in std::mem::take(&mut self.senders[sender.0].fresh) {
             if self.parcel(packet).end.is_none() {
                 self.answer_client(packet);
                 self.see(Seen::Taken(packet));
--- a/crates/sailcart-lab/src/simulated/schedule.rs
+++ b/crates/sailcart-lab/src/simulated/schedule.rs
@@ -31,7 +31,7 @@
     }
 
     fn schedule_list_changes(&mut self) {
-        for sender in (0..self.posts.len()).map(SenderId) {
+        for sender in (0..self.senders.len()).map(SenderId) {
             for (nth, change) in self.plan.changes.iter().enumerate() {
                 let at = self.plan.told_at(change, sender);
                 self.queue.push(at, Event::ListChange { sender, change: nth });
--- a/crates/sailcart-lab/src/simulated/sender.rs
+++ b/crates/sailcart-lab/src/simulated/sender.rs
@@ -11,7 +11,7 @@
 
 /// One sender, over all its lives.
 #[derive(Default)]
-pub struct Post {
+pub struct SenderState {
     /// How many lives ended before this one.
     pub life: u32,
     /// `None` between two lives.
@@ -32,7 +32,7 @@
     pub wake_at: Option<Duration>,
 }
 
-impl Post {
+impl SenderState {
     /// A life begins.
     pub fn begin(&mut self, policy: Box<dyn Policy>, now: Duration) {
         self.policy = Some(policy);
--- a/crates/sailcart-lab/src/simulated/world.rs
+++ b/crates/sailcart-lab/src/simulated/world.rs
@@ -11,7 +11,7 @@
 use super::event::Event;
 use super::parcel::Parcel;
 use super::queue::Queue;
-use super::sender::Post;
+use super::sender::SenderState;
 use crate::events::Log;
 use crate::plan::{Origin, Plan, chance};
 use crate::policies::Policy;
@@ -35,7 +35,7 @@
     pub watcher: Watcher,
     pub tally: Tally,
     pub log: Log,
-    pub posts: Vec<Post>,
+    pub senders: Vec<SenderState>,
     /// Calls that have not reached their receiver yet, by gate.
     pub going: Vec<usize>,
     /// By packet.
@@ -58,7 +58,7 @@
             watcher: Watcher::new(&plan.experiment.rules),
             tally: Tally::new(plan),
             log,
-            posts: (0..plan.experiment.senders.count).map(|_| Post::default()).collect(),
+            senders: (0..plan.experiment.senders.count).map(|_| SenderState::default()).collect(),
             going: vec![0; plan.places.len()],
             parcels: Vec::new(),
             calls: HashMap::new(),
