--- a/crates/sailcart-lab/src/sockets/clients.rs
+++ b/crates/sailcart-lab/src/sockets/clients.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
 
-use super::process::Crew;
+use super::process::SenderProcesses;
 use super::protocol::put;
 use super::shared::SharedState;
 use crate::experiment::choose_by_key;
@@ -35,7 +35,7 @@
 
 pub struct Clients {
     shared: Rc<SharedState>,
-    crew: Rc<Crew>,
+    processes: Rc<SenderProcesses>,
     idle: RefCell<HashMap<SenderId, Vec<TcpStream>>>,
     rng: RefCell<ChaCha8Rng>,
 }
@@ -49,9 +49,14 @@
 }
 
 impl Clients {
-    pub fn new(shared: &Rc<SharedState>, crew: &Rc<Crew>) -> Rc<Clients> {
+    pub fn new(shared: &Rc<SharedState>, processes: &Rc<SenderProcesses>) -> Rc<Clients> {
         let rng = RefCell::new(chance(shared.plan.seed, 6));
-        Rc::new(Clients { shared: shared.clone(), crew: crew.clone(), idle: RefCell::default(), rng })
+        Rc::new(Clients {
+            shared: shared.clone(),
+            processes: processes.clone(),
+            idle: RefCell::default(),
+            rng,
+        })
     }
 
     pub async fn hand_all_in(self: Rc<Self>) {
@@ -84,7 +89,7 @@
 
     /// By key where it has one, so that one sender gets all of a key while it runs; else any.
     fn choose(&self, id: OriginId) -> Option<SenderId> {
-        let up = self.crew.taking();
+        let up = self.processes.taking();
         match self.shared.plan.origins[id.0].key {
             Some(key) => choose_by_key(key, &up),
             None => up.choose(&mut *self.rng.borrow_mut()).copied(),
@@ -129,7 +134,7 @@
 
     /// A kept connection was closed between two commands: once more on a new one, which takes its place.
     async fn say_again(&self, sender: SenderId, kept: &mut TcpStream, bytes: &[u8]) -> io::Result<Heard> {
-        let mut new = TcpStream::connect(self.crew.address(sender)).await?;
+        let mut new = TcpStream::connect(self.processes.address(sender)).await?;
         let said = say(&mut new, bytes).await;
         *kept = new;
         said
@@ -153,7 +158,7 @@
         if let Some(kept) = kept {
             return Some((kept, false));
         }
-        let new = timeout(PATIENCE, TcpStream::connect(self.crew.address(sender))).await.ok()?.ok()?;
+        let new = timeout(PATIENCE, TcpStream::connect(self.processes.address(sender))).await.ok()?.ok()?;
         new.set_nodelay(true).ok()?;
         Some((new, true))
     }
@@ -198,7 +203,7 @@
 
 /// Clients that send what cannot be read, so many a second; each must hear an error or a close within three
 /// seconds.
-pub async fn rude(shared: Rc<SharedState>, crew: Rc<Crew>, struck: Struck) {
+pub async fn rude(shared: Rc<SharedState>, processes: Rc<SenderProcesses>, struck: Struck) {
     sleep_until(shared.instant(struck.from)).await;
     let gap = Duration::from_secs(1) / struck.trouble.count.unwrap_or(10).max(1) as u32;
     let mut rng = chance(shared.plan.seed, 7);
@@ -206,7 +211,7 @@
     while shared.now() < struck.until {
         let bytes = garbage(nth, &mut rng);
         let sender = struck.senders[nth % struck.senders.len()];
-        let (shared, address) = (shared.clone(), crew.address(sender));
+        let (shared, address) = (shared.clone(), processes.address(sender));
         spawn_local(async move {
             let Ok(mut stream) = TcpStream::connect(address).await else { return };
             if stream.write_all(&bytes).await.is_err() {
--- a/crates/sailcart-lab/src/sockets/mod.rs
+++ b/crates/sailcart-lab/src/sockets/mod.rs
@@ -22,7 +22,7 @@
 use crate::plan::{Plan, SenderId};
 use crate::policies::PolicyName;
 use crate::results::Outcome;
-use process::Crew;
+use process::SenderProcesses;
 pub use process::keep;
 use shared::SharedState;
 
@@ -61,21 +61,21 @@
     let plan = shared.plan.clone();
     let addresses = receiver::open(&shared).await.map_err(fault("receivers"))?;
     let discovery = discovery::open(&shared, &addresses).await.map_err(fault("discovery"))?;
-    let crew = Crew::new(&shared, program, &discovery, &addresses).await?;
+    let processes = SenderProcesses::new(&shared, program, &discovery, &addresses).await?;
     for sender in 0..plan.experiment.senders.count {
-        crew.start(SenderId(sender)).await?;
+        processes.start(SenderId(sender)).await?;
     }
     for sender in 0..plan.experiment.senders.count {
-        crew.ready(SenderId(sender), READY).await?;
+        processes.ready(SenderId(sender), READY).await?;
     }
     shared.begin();
     receiver::troubles(&shared);
-    spawn_local(crew.clone().watch());
-    let clients = clients::Clients::new(&shared, &crew);
+    spawn_local(processes.clone().watch());
+    let clients = clients::Clients::new(&shared, &processes);
     spawn_local(clients.clone().hand_all_in());
-    lives(&shared, &crew);
+    lives(&shared, &processes);
     if let Some(struck) = plan.struck.iter().find(|s| s.trouble.kind == TroubleKind::BadClients) {
-        spawn_local(clients::rude(shared.clone(), crew.clone(), struck.clone()));
+        spawn_local(clients::rude(shared.clone(), processes.clone(), struck.clone()));
     }
     let (span, end) = (plan.experiment.span, plan.end());
     let mut sampled = Duration::ZERO;
@@ -85,21 +85,21 @@
         if shared.now() >= sampled {
             sampled += Duration::from_secs(1);
             shared.tally.borrow_mut().sample(shared.now());
-            crew.sample();
+            processes.sample();
         }
     }
-    let cost = crew.end().await;
+    let cost = processes.end().await;
     Ok(shared.finish(Mode::Sockets, PolicyName::Sailcart, cost))
 }
 
 /// Kills, restarts in waves and reloads, each at its time.
-fn lives(shared: &Rc<SharedState>, crew: &Rc<Crew>) {
+fn lives(shared: &Rc<SharedState>, processes: &Rc<SenderProcesses>) {
     for struck in shared.plan.struck.iter().filter(|struck| struck.trouble.kind == TroubleKind::Kill) {
         for (at, sender, down) in struck.deaths(RESTART) {
-            let (crew, due) = (crew.clone(), shared.instant(at));
+            let (processes, due) = (processes.clone(), shared.instant(at));
             spawn_local(async move {
                 sleep_until(due).await;
-                crew.restart(sender, None, down).await;
+                processes.restart(sender, None, down).await;
             });
         }
     }
@@ -116,13 +116,13 @@
                 _ => struck.from,
             };
             for sender in senders.iter().copied() {
-                let (crew, due) = (crew.clone(), shared.instant(begins));
+                let (processes, due) = (processes.clone(), shared.instant(begins));
                 let kind = struck.trouble.kind;
                 spawn_local(async move {
                     sleep_until(due).await;
                     match kind {
-                        TroubleKind::Reload => crew.reload(sender),
-                        _ => crew.restart(sender, Some(STOPPING), RESTART).await,
+                        TroubleKind::Reload => processes.reload(sender),
+                        _ => processes.restart(sender, Some(STOPPING), RESTART).await,
                     }
                 });
             }
@@ -167,10 +167,10 @@
     let runtime = runtime.map_err(fault("runtime"))?;
     let play = async {
         let shared = SharedState::alone(plan.clone());
-        let crew = Crew::elsewhere(&shared, to);
-        crew.ready(SenderId(0), READY).await?;
+        let processes = SenderProcesses::elsewhere(&shared, to);
+        processes.ready(SenderId(0), READY).await?;
         shared.begin();
-        let clients = clients::Clients::new(&shared, &crew);
+        let clients = clients::Clients::new(&shared, &processes);
         spawn_local(clients.clone().hand_all_in());
         let end = shared.instant(shared.plan.experiment.span + Duration::from_secs(1));
         while Instant::now() < end {
--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -56,7 +56,7 @@
     std::process::Command::new(program).args(words).exec()
 }
 
-struct Post {
+struct SenderProcess {
     listen: SocketAddr,
     config: PathBuf,
     child: RefCell<Option<Child>>,
@@ -68,24 +68,24 @@
     spent: RefCell<(f64, f64, f64, usize)>,
 }
 
-pub struct Crew {
+pub struct SenderProcesses {
     shared: Rc<SharedState>,
     program: PathBuf,
-    posts: Vec<Post>,
+    processes: Vec<SenderProcess>,
     /// Configurations, journals and logs; gone with this run.
     _folder: Option<tempfile::TempDir>,
 }
 
-impl Crew {
+impl SenderProcesses {
     pub async fn new(
         shared: &Rc<SharedState>,
         program: PathBuf,
         discovery: &[SocketAddr],
         addresses: &[SocketAddr],
-    ) -> Result<Rc<Crew>, Fault> {
+    ) -> Result<Rc<SenderProcesses>, Fault> {
         let folder = tempfile::Builder::new().prefix("sailcart-lab").tempdir();
         let folder = folder.map_err(super::fault("folder"))?;
-        let mut posts = Vec::new();
+        let mut processes = Vec::new();
         for (sender, own) in discovery.iter().enumerate() {
             let place = format!("127.9.{}.{}:0", sender / 250, sender % 250 + 1);
             let listener = std::net::TcpListener::bind(&place).map_err(super::fault("senders"))?;
@@ -96,65 +96,65 @@
             let config = folder.path().join(format!("sender-{sender}.json"));
             let text = protocol::config(&shared.plan, SenderId(sender), listen, *own, &state, addresses);
             std::fs::write(&config, text.to_string()).map_err(super::fault("folder"))?;
-            posts.push(Post::new(listen, config));
+            processes.push(SenderProcess::new(listen, config));
         }
-        Ok(Rc::new(Crew { shared: shared.clone(), program, posts, _folder: Some(folder) }))
+        Ok(Rc::new(SenderProcesses { shared: shared.clone(), program, processes, _folder: Some(folder) }))
     }
 
     /// A sender that somebody else started.
-    pub fn elsewhere(shared: &Rc<SharedState>, at: SocketAddr) -> Rc<Crew> {
-        let posts = vec![Post::new(at, PathBuf::new())];
-        Rc::new(Crew { shared: shared.clone(), program: PathBuf::new(), posts, _folder: None })
+    pub fn elsewhere(shared: &Rc<SharedState>, at: SocketAddr) -> Rc<SenderProcesses> {
+        let processes = vec![SenderProcess::new(at, PathBuf::new())];
+        Rc::new(SenderProcesses { shared: shared.clone(), program: PathBuf::new(), processes, _folder: None })
     }
 
     pub fn address(&self, sender: SenderId) -> SocketAddr {
-        self.posts[sender.0].listen
+        self.processes[sender.0].listen
     }
 
     /// Senders that clients would choose now.
     pub fn taking(&self) -> Vec<SenderId> {
-        (0..self.posts.len()).filter(|at| self.posts[*at].taking.get()).map(SenderId).collect()
+        (0..self.processes.len()).filter(|at| self.processes[*at].taking.get()).map(SenderId).collect()
     }
 
     pub async fn start(&self, sender: SenderId) -> Result<(), Fault> {
-        let post = &self.posts[sender.0];
+        let process = &self.processes[sender.0];
         let lab = std::env::current_exe().map_err(super::fault("keep"))?;
-        let log = post.config.with_extension("log");
+        let log = process.config.with_extension("log");
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log);
         let log = log.map_err(super::fault("folder"))?;
         let child = Command::new(lab)
             .arg(KEEP)
             .arg(std::process::id().to_string())
             .arg(&self.program)
-            .args(["serve".as_ref(), "--config".as_ref(), post.config.as_os_str()])
+            .args(["serve".as_ref(), "--config".as_ref(), process.config.as_os_str()])
             .env("RUST_LOG", "info")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .kill_on_drop(true)
             .spawn();
-        *post.child.borrow_mut() = Some(child.map_err(super::fault("sender"))?);
-        post.wanted.set(true);
+        *process.child.borrow_mut() = Some(child.map_err(super::fault("sender"))?);
+        process.wanted.set(true);
         Ok(())
     }
 
     /// Until it answers `PING`.
     pub async fn ready(&self, sender: SenderId, within: Duration) -> Result<(), Fault> {
-        let (post, end) = (&self.posts[sender.0], Instant::now() + within);
+        let (process, end) = (&self.processes[sender.0], Instant::now() + within);
         while Instant::now() < end {
-            if let Ok(Ok(())) = timeout(Duration::from_secs(1), ping(post.listen)).await {
-                post.taking.set(true);
+            if let Ok(Ok(())) = timeout(Duration::from_secs(1), ping(process.listen)).await {
+                process.taking.set(true);
                 return Ok(());
             }
             sleep(LOOK).await;
         }
-        let log = std::fs::read_to_string(post.config.with_extension("log")).unwrap_or_default();
+        let log = std::fs::read_to_string(process.config.with_extension("log")).unwrap_or_default();
         let last: Vec<&str> = log.lines().rev().take(3).collect();
-        Err(Fault(format!("sender {} does not answer at {}: {}", sender.0, post.listen, last.join(" / "))))
+        Err(Fault(format!("sender {} does not answer at {}: {}", sender.0, process.listen, last.join(" / "))))
     }
 
     fn pid(&self, sender: SenderId) -> Option<Pid> {
-        let id = self.posts[sender.0].child.borrow().as_ref()?.id()?;
+        let id = self.processes[sender.0].child.borrow().as_ref()?.id()?;
         Some(Pid::from_raw(id as i32))
     }
 
@@ -166,9 +166,9 @@
 
     /// Ends a sender, as told (within a time) or without warning, and starts it again after a while.
     pub async fn restart(&self, sender: SenderId, told: Option<Duration>, down: Duration) {
-        let post = &self.posts[sender.0];
+        let process = &self.processes[sender.0];
         let Some(pid) = self.pid(sender) else { return };
-        if !post.wanted.replace(false) {
+        if !process.wanted.replace(false) {
             return; // it is on its way back from another
         }
         self.shared.tally.borrow_mut().count(Count::Kills);
@@ -177,14 +177,14 @@
         if let Some(within) = told {
             let _ = kill(pid, Signal::SIGTERM);
             sleep(Duration::from_millis(300)).await;
-            post.taking.set(false);
+            process.taking.set(false);
             self.ended(sender, within).await;
         }
-        post.taking.set(false);
+        process.taking.set(false);
         let _ = kill(pid, Signal::SIGKILL);
         self.ended(sender, Duration::from_secs(1)).await;
-        *post.child.borrow_mut() = None;
-        post.end_life();
+        *process.child.borrow_mut() = None;
+        process.end_life();
         sleep(down).await;
         match self.start(sender).await {
             Ok(()) if self.ready(sender, Duration::from_secs(10)).await.is_ok() => {
@@ -197,7 +197,7 @@
     async fn ended(&self, sender: SenderId, within: Duration) {
         let end = Instant::now() + within;
         while Instant::now() < end {
-            let ended = match &mut *self.posts[sender.0].child.borrow_mut() {
+            let ended = match &mut *self.processes[sender.0].child.borrow_mut() {
                 Some(child) => !matches!(child.try_wait(), Ok(None)),
                 None => true,
             };
@@ -212,8 +212,9 @@
     pub async fn watch(self: Rc<Self>) {
         loop {
             sleep(Duration::from_millis(100)).await;
-            for (at, post) in self.posts.iter().enumerate().filter(|(_, post)| post.wanted.get()) {
-                let ended = match &mut *post.child.borrow_mut() {
+            for (at, process) in self.processes.iter().enumerate().filter(|(_, process)| process.wanted.get())
+            {
+                let ended = match &mut *process.child.borrow_mut() {
                     Some(child) => child.try_wait().ok().flatten(),
                     None => None,
                 };
@@ -229,7 +230,7 @@
     fn measure(&self, sender: SenderId) {
         let Some(pid) = self.pid(sender) else { return };
         let Ok(process) = procfs::process::Process::new(pid.as_raw()) else { return };
-        let mut spent = self.posts[sender.0].spent.borrow_mut();
+        let mut spent = self.processes[sender.0].spent.borrow_mut();
         if let Ok(stat) = process.stat() {
             spent.1 = (stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64;
         }
@@ -242,23 +243,23 @@
     }
 
     pub fn sample(&self) {
-        (0..self.posts.len()).for_each(|sender| self.measure(SenderId(sender)));
+        (0..self.processes.len()).for_each(|sender| self.measure(SenderId(sender)));
     }
 
     /// Ends all; what each cost, and the lab itself.
     pub async fn end(&self) -> Vec<Cost> {
         self.sample();
-        for (at, post) in self.posts.iter().enumerate() {
-            post.wanted.set(false);
+        for (at, process) in self.processes.iter().enumerate() {
+            process.wanted.set(false);
             if let Some(pid) = self.pid(SenderId(at)) {
                 let _ = kill(pid, Signal::SIGTERM);
             }
         }
         let mut cost = Vec::new();
-        for (at, post) in self.posts.iter().enumerate() {
+        for (at, process) in self.processes.iter().enumerate() {
             self.ended(SenderId(at), super::STOPPING).await;
-            *post.child.borrow_mut() = None; // killed if it has not ended
-            let (before, now, memory_mb, descriptors) = *post.spent.borrow();
+            *process.child.borrow_mut() = None; // killed if it has not ended
+            let (before, now, memory_mb, descriptors) = *process.spent.borrow();
             cost.push(Cost { process: format!("sender {at}"), cpu_s: before + now, memory_mb, descriptors });
         }
         if let Ok(own) = procfs::process::Process::myself() {
@@ -272,9 +273,9 @@
     }
 }
 
-impl Post {
+impl SenderProcess {
     fn new(listen: SocketAddr, config: PathBuf) -> Self {
-        Post {
+        SenderProcess {
             listen,
             config,
             child: RefCell::new(None),
