Laboratory: a packet as handed in once is called Submission

It was Parcel, which says no more than packet; a client's packet that is handed in again is one packet wanted and another submission. A rename alone.

--- a/crates/sailcart-lab/src/simulated/clients.rs
+++ b/crates/sailcart-lab/src/simulated/clients.rs
@@ -7,7 +7,7 @@
 use sailcart::PacketId;
 
 use super::event::Event;
-use super::parcel::{Ended, Parcel};
+use super::submission::{Ended, Submission};
 use super::world::World;
 use crate::experiment::choose_by_key;
 use crate::plan::{OriginId, SenderId};
@@ -32,8 +32,8 @@
             self.queue.push(self.now + NO_SENDER_PAUSE, Event::HandIn { origin: id, tries });
             return;
         };
-        let packet = PacketId(self.parcels.len() as u64);
-        self.parcels.push(Parcel::new(id, sender, tries, self.now, ends));
+        let packet = PacketId(self.submissions.len() as u64);
+        self.submissions.push(Submission::new(id, sender, tries, self.now, ends));
         self.see(Seen::Handed(Handed::new(self.plan, packet, id, sender)));
         self.tally.count(Count::HandedIn);
         if self.senders[sender.0].held.len() >= self.plan.terms.hold {
@@ -57,21 +57,21 @@
     /// The client hears the answer to its handing in.
     pub fn answer_client(&mut self, packet: PacketId) {
         let first = self.origin_of(packet).at;
-        let parcel = self.parcel_mut(packet);
-        parcel.answered = true;
+        let submission = self.submission_mut(packet);
+        submission.answered = true;
         // The first handing in counts from the intended moment, a later one from its own.
-        let from = if parcel.tries == 0 { first } else { parcel.handed };
+        let from = if submission.tries == 0 { first } else { submission.handed };
         self.tally.answered(self.now.saturating_sub(from));
     }
 
     /// A packet's end: its client hears of it, and may come again after a dismissal.
     pub fn end_packet(&mut self, ended: Ended) {
         let Ended { packet, end, retry_after } = ended;
-        let first_end = self.parcel_mut(packet).end.replace(end).is_none();
+        let first_end = self.submission_mut(packet).end.replace(end).is_none();
         if first_end {
             self.release(packet);
         }
-        let heard = self.parcel(packet).answered;
+        let heard = self.submission(packet).answered;
         self.see(Seen::Ended(packet, end));
         match end {
             End::Done => {}
@@ -88,7 +88,7 @@
 
     /// The packet's sender holds it no longer.
     pub fn release(&mut self, packet: PacketId) {
-        let sender = self.parcel(packet).sender;
+        let sender = self.submission(packet).sender;
         if self.senders[sender.0].held.remove(&packet) {
             self.tally.holds(self.origin_of(packet).destination, false);
         }
@@ -96,28 +96,28 @@
 
     /// After a dismissal the client hands in again, a limited number of times and while its patience lasts.
     fn come_again(&mut self, packet: PacketId, retry_after: Option<Duration>) {
-        let parcel = &self.parcels[packet.0 as usize];
+        let submission = &self.submissions[packet.0 as usize];
         let load = &self.plan.experiment.load;
-        if parcel.tries >= load.again {
+        if submission.tries >= load.again {
             return;
         }
         let drawn = load.pause.mul_f64(self.rng.random_range(1.0..MOST_PAUSE_FACTOR));
         let at = self.now + drawn.max(retry_after.unwrap_or_default());
-        let (origin, tries) = (parcel.origin, parcel.tries);
-        if at < parcel.ends.min(self.plan.comes_again_until(origin)) {
+        let (origin, tries) = (submission.origin, submission.tries);
+        if at < submission.ends.min(self.plan.comes_again_until(origin)) {
             self.queue.push(at, Event::HandIn { origin, tries: tries + 1 });
         }
     }
 
     /// A client heard nothing before its sender died: it hands in again, elsewhere.
     pub fn abandon(&mut self, packet: PacketId) {
-        let open = self.parcel_mut(packet).end.replace(End::Dismissed).is_none();
+        let open = self.submission_mut(packet).end.replace(End::Dismissed).is_none();
         self.see(Seen::Abandoned(packet));
         if open {
             self.release(packet);
         }
-        let parcel = self.parcel(packet);
-        let (origin, tries) = (parcel.origin, parcel.tries);
+        let submission = self.submission(packet);
+        let (origin, tries) = (submission.origin, submission.tries);
         self.queue.push(self.now + CLIENT_TIME_OUT, Event::HandIn { origin, tries });
     }
 }
--- a/crates/sailcart-lab/src/simulated/dispatching.rs
+++ b/crates/sailcart-lab/src/simulated/dispatching.rs
@@ -45,9 +45,9 @@
         let id = CallId(self.next_call);
         self.next_call += 1;
         for packet in &packets {
-            let parcel = self.parcel_mut(*packet);
-            parcel.dispatches += 1;
-            parcel.call = Some(id);
+            let submission = self.submission_mut(*packet);
+            submission.dispatches += 1;
+            submission.call = Some(id);
         }
         self.tally.calls_out(self.plan.place(endpoint).destination, true);
         let mut call = Call::new(sender, endpoint, packets, self.now);
@@ -101,8 +101,8 @@
     fn write(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         for packet in &call.packets {
-            let parcel = &mut self.parcels[packet.0 as usize];
-            parcel.doubt = parcel.doubt.or(Some(self.now));
+            let submission = &mut self.submissions[packet.0 as usize];
+            submission.doubt = submission.doubt.or(Some(self.now));
         }
         call.advance(Stage::Going);
         self.queue.push(self.now + self.plan.experiment.network.transit, Event::Arrived(id));
--- a/crates/sailcart-lab/src/simulated/lives.rs
+++ b/crates/sailcart-lab/src/simulated/lives.rs
@@ -92,7 +92,7 @@
         }
         self.tally.calls_out(self.plan.place(call.endpoint).destination, false);
         for packet in &call.packets {
-            self.parcel_mut(*packet).call = None;
+            self.submission_mut(*packet).call = None;
         }
         if call.has_arrived() {
             self.see(Seen::Over { call: id, heard: Heard::Unsure });
--- a/crates/sailcart-lab/src/simulated/mod.rs
+++ b/crates/sailcart-lab/src/simulated/mod.rs
@@ -12,12 +12,12 @@
 mod event;
 mod lives;
 mod outcomes;
-mod parcel;
 mod queue;
 mod reception;
 mod rounds;
 mod schedule;
 mod sender;
+mod submission;
 mod world;
 
 use std::time::Duration;
--- a/crates/sailcart-lab/src/simulated/outcomes.rs
+++ b/crates/sailcart-lab/src/simulated/outcomes.rs
@@ -3,7 +3,7 @@
 use sailcart::{Outcome, PacketId};
 
 use super::call::{Call, Stage};
-use super::parcel::Ended;
+use super::submission::Ended;
 use super::world::World;
 use crate::results::tally::Count;
 use crate::watcher::{CallId, End, Heard, Seen};
@@ -93,12 +93,12 @@
 
     /// One packet's outcome is noted and told to its sender.
     fn packet_outcome(&mut self, call: &Call, packet: PacketId, outcome: Outcome) {
-        let parcel = self.parcel_mut(packet);
-        parcel.call = None;
-        if !may_have_run(outcome) && parcel.doubt.is_some_and(|doubt| doubt >= call.start) {
-            parcel.doubt = None; // this one never ran, and no other was in doubt
+        let submission = self.submission_mut(packet);
+        submission.call = None;
+        if !may_have_run(outcome) && submission.doubt.is_some_and(|doubt| doubt >= call.start) {
+            submission.doubt = None; // this one never ran, and no other was in doubt
         }
-        let over = parcel.end.is_some();
+        let over = submission.end.is_some();
         let done = outcome == Outcome::Done;
         if done {
             self.delivered(packet);
@@ -112,9 +112,9 @@
     /// A packet has run: that is its end, unless it had one.
     fn delivered(&mut self, packet: PacketId) {
         let after = self.now.saturating_sub(self.origin_of(packet).at);
-        let parcel = self.parcel(packet);
-        let over = parcel.end.is_some();
-        self.tally.delivered(parcel.origin, after);
+        let submission = self.submission(packet);
+        let over = submission.end.is_some();
+        self.tally.delivered(submission.origin, after);
         if !over {
             self.end_packet(Ended { packet, end: End::Done, retry_after: None });
         }
--- a/crates/sailcart-lab/src/simulated/rounds.rs
+++ b/crates/sailcart-lab/src/simulated/rounds.rs
@@ -42,7 +42,7 @@
 
     /// A packet as its sender knows it.
     pub fn describe(&self, packet: PacketId) -> sailcart::Packet {
-        let parcel = self.parcel(packet);
+        let submission = self.submission(packet);
         let origin = self.origin_of(packet);
         sailcart::Packet {
             id: packet,
@@ -50,9 +50,9 @@
             category: origin.category,
             customer: origin.customer,
             key: origin.key,
-            ends: parcel.ends,
-            dispatches: parcel.dispatches,
-            doubt: parcel.doubt,
+            ends: submission.ends,
+            dispatches: submission.dispatches,
+            doubt: submission.doubt,
             taken_on: false,
         }
     }
@@ -117,7 +117,7 @@
     /// What was taken since the last round, and is not over, is written: its clients hear so.
     fn confirm_taken(&mut self, sender: SenderId) {
         for packet in std::mem::take(&mut self.senders[sender.0].fresh) {
-            if self.parcel(packet).end.is_none() {
+            if self.submission(packet).end.is_none() {
                 self.answer_client(packet);
                 self.see(Seen::Taken(packet));
             }
@@ -125,7 +125,7 @@
     }
 
     fn cancel(&mut self, cancel: Cancel) {
-        if let Some(call) = self.parcel(cancel.packet).call_of(cancel.dispatch) {
+        if let Some(call) = self.submission(cancel.packet).call_of(cancel.dispatch) {
             self.queue.push(self.now, Event::GiveUp(call, Outcome::Cancelled));
         }
     }
--- a/crates/sailcart-lab/src/simulated/sender.rs
+++ b/crates/sailcart-lab/src/simulated/sender.rs
@@ -5,7 +5,7 @@
 
 use sailcart::{EndpointId, Host, PacketId};
 
-use super::parcel::Ended;
+use super::submission::Ended;
 use crate::policies::Policy;
 use crate::watcher::End;
 
--- a/crates/sailcart-lab/src/simulated/parcel.rs
+++ b/crates/sailcart-lab/src/simulated/submission.rs
@@ -8,7 +8,7 @@
 use crate::watcher::{CallId, End};
 
 /// A packet as handed in once.
-pub struct Parcel {
+pub struct Submission {
     pub origin: OriginId,
     pub sender: SenderId,
     /// How often it was handed in before, under other numbers.
@@ -29,10 +29,10 @@
     pub end: Option<End>,
 }
 
-impl Parcel {
+impl Submission {
     /// A packet that a sender is being handed now.
     pub fn new(origin: OriginId, sender: SenderId, tries: u32, handed: Duration, ends: Duration) -> Self {
-        Parcel {
+        Submission {
             origin,
             sender,
             tries,
--- a/crates/sailcart-lab/src/simulated/world.rs
+++ b/crates/sailcart-lab/src/simulated/world.rs
@@ -9,9 +9,9 @@
 
 use super::call::Call;
 use super::event::Event;
-use super::parcel::Parcel;
 use super::queue::Queue;
 use super::sender::SenderState;
+use super::submission::Submission;
 use crate::events::Log;
 use crate::plan::{Origin, Plan, chance};
 use crate::policies::Policy;
@@ -39,7 +39,7 @@
     /// Calls that have not reached their receiver yet, by gate.
     pub going: Vec<usize>,
     /// By packet.
-    pub parcels: Vec<Parcel>,
+    pub submissions: Vec<Submission>,
     /// Calls that are not over.
     pub calls: HashMap<CallId, Call>,
     pub next_call: u64,
@@ -60,7 +60,7 @@
             log,
             senders: (0..plan.experiment.senders.count).map(|_| SenderState::default()).collect(),
             going: vec![0; plan.places.len()],
-            parcels: Vec::new(),
+            submissions: Vec::new(),
             calls: HashMap::new(),
             next_call: 0,
             rng: chance(plan.seed, CLIENTS_STREAM),
@@ -74,18 +74,18 @@
     }
 
     /// A packet as handed in.
-    pub fn parcel(&self, packet: PacketId) -> &Parcel {
-        &self.parcels[packet.0 as usize]
+    pub fn submission(&self, packet: PacketId) -> &Submission {
+        &self.submissions[packet.0 as usize]
     }
 
     /// A packet as handed in, to change.
-    pub fn parcel_mut(&mut self, packet: PacketId) -> &mut Parcel {
-        &mut self.parcels[packet.0 as usize]
+    pub fn submission_mut(&mut self, packet: PacketId) -> &mut Submission {
+        &mut self.submissions[packet.0 as usize]
     }
 
     /// What a client wanted to send with a packet.
     pub fn origin_of(&self, packet: PacketId) -> &'a Origin {
-        &self.plan.origins[self.parcel(packet).origin.0]
+        &self.plan.origins[self.submission(packet).origin.0]
     }
 
     /// Which receiver answers at an endpoint.
@@ -95,6 +95,6 @@
 
     /// What a receiver sees of each packet.
     pub fn pieces(&self, packets: &[PacketId]) -> Vec<Piece> {
-        packets.iter().map(|packet| Piece::new(self.plan, self.parcel(*packet).origin)).collect()
+        packets.iter().map(|packet| Piece::new(self.plan, self.submission(*packet).origin)).collect()
     }
 }
--- a/crates/sailcart-lab/src/sockets/shared.rs
+++ b/crates/sailcart-lab/src/sockets/shared.rs
@@ -18,7 +18,7 @@
 use crate::watcher::{CallId, End, GateId, Handed, Seen, Watcher};
 
 /// A packet as handed in once.
-pub struct Parcel {
+pub struct Submission {
     pub origin: OriginId,
     pub sender: SenderId,
     pub tries: u32,
@@ -33,7 +33,7 @@
     watcher: RefCell<Watcher>,
     pub tally: RefCell<Tally>,
     log: RefCell<Log>,
-    parcels: RefCell<Vec<Parcel>>,
+    submissions: RefCell<Vec<Submission>>,
     next_call: Cell<u64>,
     /// Packets handed in, or to be handed in again, that nobody has ended.
     open: Cell<usize>,
@@ -61,7 +61,7 @@
             log: RefCell::new(log),
             plan: Rc::new(plan),
             start: Cell::new(Instant::now()),
-            parcels: RefCell::default(),
+            submissions: RefCell::default(),
             next_call: Cell::new(0),
             open: Cell::new(0),
             alone,
@@ -99,10 +99,10 @@
 
     /// A client hands a packet in; its id on the wire is its number.
     pub fn hand(&self, origin: OriginId, sender: SenderId, tries: u32) -> PacketId {
-        let mut parcels = self.parcels.borrow_mut();
-        let packet = PacketId(parcels.len() as u64);
-        parcels.push(Parcel { origin, sender, tries, taken: false, end: None });
-        drop(parcels);
+        let mut submissions = self.submissions.borrow_mut();
+        let packet = PacketId(submissions.len() as u64);
+        submissions.push(Submission { origin, sender, tries, taken: false, end: None });
+        drop(submissions);
         let wanted = &self.plan.origins[origin.0];
         self.tally.borrow_mut().count(Count::HandedIn);
         self.tally.borrow_mut().holds(wanted.destination, true);
@@ -113,9 +113,9 @@
 
     pub fn taken(&self, packet: PacketId) {
         let fresh = {
-            let mut parcels = self.parcels.borrow_mut();
-            let parcel = &mut parcels[packet.0 as usize];
-            !std::mem::replace(&mut parcel.taken, true)
+            let mut submissions = self.submissions.borrow_mut();
+            let submission = &mut submissions[packet.0 as usize];
+            !std::mem::replace(&mut submission.taken, true)
         };
         if fresh {
             self.see(Seen::Taken(packet));
@@ -129,12 +129,12 @@
     }
 
     fn close(&self, packet: PacketId, end: End) -> bool {
-        let mut parcels = self.parcels.borrow_mut();
-        let parcel = &mut parcels[packet.0 as usize];
-        let first = parcel.end.is_none();
-        parcel.end.get_or_insert(end);
+        let mut submissions = self.submissions.borrow_mut();
+        let submission = &mut submissions[packet.0 as usize];
+        let first = submission.end.is_none();
+        submission.end.get_or_insert(end);
         if first {
-            let destination = self.plan.origins[parcel.origin.0].destination;
+            let destination = self.plan.origins[submission.origin.0].destination;
             self.tally.borrow_mut().holds(destination, false);
             self.open.set(self.open.get() - 1);
         }
@@ -143,14 +143,14 @@
 
     /// A packet's end was told to its client or by a notice. A dismissal may bring it back.
     pub fn ended(&self, packet: PacketId, end: End, wait: Duration) {
-        if packet.0 as usize >= self.parcels.borrow().len() {
+        if packet.0 as usize >= self.submissions.borrow().len() {
             return self.tally.borrow_mut().count(Count::Strays);
         }
         let first = self.close(packet, end);
         self.see(Seen::Ended(packet, end));
         let (origin, tries) = {
-            let parcels = self.parcels.borrow();
-            (parcels[packet.0 as usize].origin, parcels[packet.0 as usize].tries)
+            let submissions = self.submissions.borrow();
+            (submissions[packet.0 as usize].origin, submissions[packet.0 as usize].tries)
         };
         match end {
             End::Done => {
@@ -176,11 +176,11 @@
         if self.alone.is_some() {
             return Some(PacketId(number));
         }
-        (number < self.parcels.borrow().len() as u64).then_some(PacketId(number))
+        (number < self.submissions.borrow().len() as u64).then_some(PacketId(number))
     }
 
     pub fn sender(&self, packet: PacketId) -> SenderId {
-        self.parcels.borrow().get(packet.0 as usize).map_or(SenderId(0), |parcel| parcel.sender)
+        self.submissions.borrow().get(packet.0 as usize).map_or(SenderId(0), |submission| submission.sender)
     }
 
     pub fn piece(&self, packet: PacketId, mark: Option<&str>) -> Piece {
@@ -194,16 +194,16 @@
             let memory = if mark.is_some() { memory.unwrap_or_default() } else { Duration::ZERO };
             return Piece { origin: *known.entry(name).or_insert(next), repeat, memory };
         }
-        Piece::new(&self.plan, self.parcels.borrow()[packet.0 as usize].origin)
+        Piece::new(&self.plan, self.submissions.borrow()[packet.0 as usize].origin)
     }
 
     /// A connection that could not come up is not seen here: who had packets for it must have tried.
     pub fn missed(&self, gate: GateId, endpoints: &[EndpointId]) {
         let mut senders: Vec<SenderId> = Vec::new();
-        for parcel in self.parcels.borrow().iter().filter(|parcel| parcel.end.is_none()) {
-            let to = self.plan.origins[parcel.origin.0].destination;
+        for submission in self.submissions.borrow().iter().filter(|submission| submission.end.is_none()) {
+            let to = self.plan.origins[submission.origin.0].destination;
             if endpoints.iter().any(|endpoint| self.plan.place(*endpoint).destination == to) {
-                senders.push(parcel.sender);
+                senders.push(submission.sender);
             }
         }
         senders.sort();
