--- a/crates/sailcart-lab/src/receivers/limit.rs
+++ b/crates/sailcart-lab/src/receivers/limit.rs
@@ -10,7 +10,7 @@
 const BURST: f64 = 1.0;
 
 #[derive(Clone, Debug)]
-pub struct Gauge {
+pub struct RateLimiter {
     limit: Limit,
     /// The rate that is usual.
     rate: f64,
@@ -19,10 +19,10 @@
     at: Duration,
 }
 
-impl Gauge {
+impl RateLimiter {
     pub fn new(limit: &Limit) -> Self {
         let level = if limit.by == LimitBy::Rate { (limit.rate * BURST).max(1.0) } else { 0.0 };
-        Gauge { limit: limit.clone(), rate: limit.rate, level, at: Duration::ZERO }
+        RateLimiter { limit: limit.clone(), rate: limit.rate, level, at: Duration::ZERO }
     }
 
     /// From now on its limit is this share of the usual. What is left by now stays, or what is used.
--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::experiment::{Destinations, Repeat, Spoil};
 use crate::plan::{OriginId, Plan, chance};
-use limit::Gauge;
+use limit::RateLimiter;
 use recovery::Recovery;
 pub use troubles::{Conditions, TroubleSchedule};
 
@@ -106,7 +106,7 @@
 
 /// What senders share at a destination or, where routes are apart, at an endpoint.
 struct Gate {
-    gauge: Gauge,
+    limiter: RateLimiter,
     recovery: Recovery,
 }
 
@@ -141,7 +141,7 @@
                 let capacity = destination.capacity;
                 let outages = troubles.outages(place.endpoint);
                 gates.push(Gate {
-                    gauge: Gauge::new(&group.limit),
+                    limiter: RateLimiter::new(&group.limit),
                     recovery: Recovery::new(&plan.experiment.rules, capacity, outages),
                 });
                 gates.len() - 1
@@ -230,10 +230,10 @@
             return Reception::full(now, pieces.len(), wait, None);
         }
         let group = plan.group(self.endpoints[endpoint.0 as usize].destination);
-        let gauge = &mut self.gates[gate].gauge;
-        gauge.lower(now, conditions.limit);
-        let room = gauge.take(now);
-        let report = group.report.then(|| gauge.report(now)).flatten();
+        let limiter = &mut self.gates[gate].limiter;
+        limiter.lower(now, conditions.limit);
+        let room = limiter.take(now);
+        let report = group.report.then(|| limiter.report(now)).flatten();
         if let Err(wait) = room {
             let tells = self.strikes(group.limit.tells);
             return Reception::full(now, pieces.len(), tells.then_some(wait), report);
@@ -399,9 +399,13 @@
         let lossy = conditions.errors + conditions.answer_lost + conditions.reset_after > 0.5;
         let group = plan.group(own.destination);
         let there = place.from <= now && self.reachable(plan, now, endpoint) && now < conditions.drained;
-        let mut gauge = gate.gauge.clone();
-        gauge.lower(now, conditions.limit);
-        if !there || troubled || lossy || !gauge.has_room(now, behind) || !gate.recovery.has_room(now, behind)
+        let mut limiter = gate.limiter.clone();
+        limiter.lower(now, conditions.limit);
+        if !there
+            || troubled
+            || lossy
+            || !limiter.has_room(now, behind)
+            || !gate.recovery.has_room(now, behind)
         {
             return None;
         }
