--- a/crates/sailcart-lab/src/policies/baseline.rs
+++ b/crates/sailcart-lab/src/policies/baseline.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use sailcart::{DestinationId, EndpointId, Host, Listing, Outcome, Packet, PacketId, Repeat, Terms};
 
-use super::{Eyes, Policy, PolicyName};
+use super::{OracleView, Policy, PolicyName};
 
 /// The first step of a backoff, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(8));
@@ -121,7 +121,7 @@
         now: Duration,
         to: DestinationId,
         also: usize,
-        eyes: &dyn Eyes,
+        view: &dyn OracleView,
     ) -> Option<(EndpointId, Option<Duration>)> {
         let live: Vec<EndpointId> = self.of.get(&to).into_iter().flatten().copied().collect();
         let live: Vec<EndpointId> = live.into_iter().filter(|id| self.endpoints[id].live).collect();
@@ -130,7 +130,7 @@
                 if self.waits.get(&to).is_some_and(|until| *until > now) {
                     return None;
                 }
-                let finish = |id: &EndpointId| eyes.would_finish(now, *id, also).map(|at| (at, *id));
+                let finish = |id: &EndpointId| view.would_finish(now, *id, also).map(|at| (at, *id));
                 live.iter().filter_map(finish).min().map(|(at, id)| (id, Some((at - now) * LOST)))
             }
             PolicyName::Breaker => {
@@ -272,7 +272,7 @@
         self.endpoints.get(&endpoint).is_some_and(|seen| seen.live)
     }
 
-    fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host) {
+    fn decide(&mut self, now: Duration, view: &dyn OracleView, host: &mut dyn Host) {
         let (mut looked, mut wake) = (VecDeque::new(), Duration::MAX);
         let mut chosen: BTreeMap<DestinationId, usize> = BTreeMap::new();
         if self.name == PolicyName::Oracle {
@@ -287,7 +287,7 @@
             let (packet, last, not_before) = (kept.packet.clone(), self.last_start(kept), kept.not_before);
             let ready = not_before <= now && self.out < self.terms.slots && self.in_turn(now, &packet);
             let also = chosen.get(&packet.destination).copied().unwrap_or(0);
-            let endpoint = if ready { self.pick(now, packet.destination, also, eyes) } else { None };
+            let endpoint = if ready { self.pick(now, packet.destination, also, view) } else { None };
             let Some((endpoint, lost)) = endpoint else {
                 let look = if not_before > now { not_before } else { now + LOOK };
                 wake = wake.min(look).min(last);
--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -48,7 +48,7 @@
 }
 
 /// What only the oracle may look at.
-pub trait Eyes {
+pub trait OracleView {
     /// When a call that came now, behind those on their way and `also` others, would be answered with success, if
     /// it would.
     fn would_finish(&self, now: Duration, endpoint: EndpointId, also: usize) -> Option<Duration>;
@@ -63,7 +63,7 @@
     fn report(&mut self, _: PacketId, _: Report) {}
     /// Asked before the first byte of a call that waited for its connection.
     fn may_still_go(&self, now: Duration, id: PacketId) -> bool;
-    fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host);
+    fn decide(&mut self, now: Duration, view: &dyn OracleView, host: &mut dyn Host);
 }
 
 /// Lets the module act through a host known only by its trait.
@@ -120,7 +120,7 @@
         Sender::may_still_go(self, now, id)
     }
 
-    fn decide(&mut self, now: Duration, _: &dyn Eyes, host: &mut dyn Host) {
+    fn decide(&mut self, now: Duration, _: &dyn OracleView, host: &mut dyn Host) {
         Sender::decide(self, now, &mut Through(host));
     }
 }
--- a/crates/sailcart-lab/src/simulated/rounds.rs
+++ b/crates/sailcart-lab/src/simulated/rounds.rs
@@ -8,19 +8,19 @@
 use super::sender::{Acts, Cancel};
 use super::world::World;
 use crate::plan::{Plan, SenderId};
-use crate::policies::Eyes;
+use crate::policies::OracleView;
 use crate::receivers::Receivers;
 use crate::watcher::Seen;
 
 /// What a round may look at, if its policy is the oracle.
-struct Sight<'a> {
+struct WorldView<'a> {
     plan: &'a Plan,
     receivers: &'a Receivers,
     /// Calls on their way, by gate.
     going: &'a [usize],
 }
 
-impl Eyes for Sight<'_> {
+impl OracleView for WorldView<'_> {
     fn would_finish(&self, now: Duration, endpoint: EndpointId, also: usize) -> Option<Duration> {
         let behind = self.going[self.receivers.gate(endpoint)] + also;
         self.receivers.would_finish(self.plan, now, endpoint, behind)
@@ -92,11 +92,11 @@
     /// Asks the policy what it wants.
     fn decide(&mut self, sender: SenderId) -> Acts {
         let mut acts = Acts::default();
-        let sight = Sight { plan: self.plan, receivers: &self.receivers, going: &self.going };
+        let view = WorldView { plan: self.plan, receivers: &self.receivers, going: &self.going };
         let state = &mut self.senders[sender.0];
         state.begin_round(self.now, self.plan.experiment.senders.round);
         if let Some(policy) = &mut state.policy {
-            policy.decide(self.now, &sight, &mut acts);
+            policy.decide(self.now, &view, &mut acts);
         }
         acts
     }
--- a/crates/sailcart-lab/tests/wrong_senders.rs
+++ b/crates/sailcart-lab/tests/wrong_senders.rs
@@ -8,7 +8,7 @@
 use common::{broken, plan, play, play_with};
 use sailcart::{Category, EndpointId, Host, Listing, Outcome, Packet, PacketId, Repeat, Sender, Terms};
 use sailcart_lab::plan::Plan;
-use sailcart_lab::policies::{Baseline, Eyes, Policy, PolicyName};
+use sailcart_lab::policies::{Baseline, OracleView, Policy, PolicyName};
 use sailcart_lab::watcher::Rule;
 
 /// The module, with something kept from it or something done behind its back.
@@ -88,7 +88,7 @@
     fn may_still_go(&self, now: Duration, id: PacketId) -> bool {
         Sender::may_still_go(&self.inner, now, id) || self.after_end
     }
-    fn decide(&mut self, now: Duration, _: &dyn Eyes, host: &mut dyn Host) {
+    fn decide(&mut self, now: Duration, _: &dyn OracleView, host: &mut dyn Host) {
         if let Some(endpoint) = self.last.filter(|_| self.after_end) {
             for packet in std::mem::take(&mut self.ended) {
                 host.dispatch(packet, endpoint, Duration::from_secs(1));
