Laboratory and store: public items documented; a report's page drawn in named steps

Receivers, policies, the comparison of results, the watcher's main types and the store's files, faults and frames had public items without a word; they have one now. The report's page is cut into its pictures. Behaviour is unchanged.

--- a/crates/sailcart-lab/src/policies/baseline.rs
+++ b/crates/sailcart-lab/src/policies/baseline.rs
@@ -56,6 +56,7 @@
     }
 }
 
+/// One sender that decides by a baseline.
 pub struct Baseline {
     name: PolicyName,
     terms: Terms,
@@ -71,6 +72,7 @@
 }
 
 impl Baseline {
+    /// A sender at its start; `name` is one of the baselines.
     pub fn new(name: PolicyName, terms: Terms, seed: u64) -> Self {
         Baseline {
             name,
--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -12,6 +12,7 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, clap::ValueEnum,
 )]
+/// Who decides, as named on the command line and in results.
 #[serde(rename_all = "kebab-case")]
 pub enum PolicyName {
     /// The module.
@@ -28,6 +29,7 @@
 }
 
 impl PolicyName {
+    /// Every policy, the module first.
     pub const ALL: [PolicyName; 5] = [
         PolicyName::Sailcart,
         PolicyName::OneTry,
@@ -36,6 +38,7 @@
         PolicyName::Oracle,
     ];
 
+    /// The name as the command line has it.
     pub fn word(self) -> &'static str {
         match self {
             PolicyName::Sailcart => "sailcart",
@@ -56,8 +59,11 @@
 
 /// One sender's decisions; the calls of [`Sender`], and what a baseline needs in their place.
 pub trait Policy {
+    /// The list of endpoints, or changes of it, as [`Sender::list`] hears them.
     fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]);
+    /// A packet that a client handed in, or that the journal held at the start.
     fn take(&mut self, now: Duration, packet: Packet);
+    /// How a dispatch came back after `elapsed`; `over` if the packet has its end.
     fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool);
     /// What the answer of a dispatch tells of the limit, before its outcome. No baseline heeds it.
     fn report(&mut self, _: PacketId, _: Report) {}
--- a/crates/sailcart-lab/src/receivers/limit.rs
+++ b/crates/sailcart-lab/src/receivers/limit.rs
@@ -9,6 +9,7 @@
 /// Seconds of its rate that an even limit grants at once.
 const BURST: f64 = 1.0;
 
+/// A limit on calls, and how much of it is used.
 #[derive(Clone, Debug)]
 pub struct RateLimiter {
     limit: Limit,
@@ -20,6 +21,7 @@
 }
 
 impl RateLimiter {
+    /// A limit of which nothing is used yet.
     pub fn new(limit: &Limit) -> Self {
         let level = if limit.by == LimitBy::Rate { (limit.rate * BURST).max(1.0) } else { 0.0 };
         RateLimiter { limit: limit.clone(), rate: limit.rate, level, at: Duration::ZERO }
--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -24,7 +24,9 @@
 /// How a connection attempt fares.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Connect {
+    /// Nobody listens there, or not for one more.
     Refused,
+    /// Nothing comes back, neither acceptance nor refusal.
     Never,
     /// It stands; the first call on it starts so much later.
     Up(Duration),
@@ -37,7 +39,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Piece {
     pub origin: OriginId,
+    /// What a receiver does with a repeat.
     pub repeat: Repeat,
+    /// For how long it knows a repeat as one.
     pub memory: Duration,
 }
 
@@ -71,10 +75,14 @@
     }
 }
 
+/// What an answer for several packets says of one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PieceAnswer {
+    /// It took effect.
     Accepted,
+    /// It failed; it may have taken effect.
     Fault,
+    /// It was turned away; it never ran.
     Deferred,
 }
 
@@ -120,6 +128,7 @@
     connections: usize,
 }
 
+/// All receivers of a plan.
 pub struct Receivers {
     troubles: TroubleSchedule,
     endpoints: Vec<Endpoint>,
@@ -130,6 +139,7 @@
 }
 
 impl Receivers {
+    /// All receivers at the start of a run, without connections.
     pub fn new(plan: &Plan) -> Self {
         let (mut gates, mut endpoints) = (Vec::new(), Vec::<Endpoint>::new());
         let mut shared: BTreeMap<DestinationId, usize> = BTreeMap::new();
@@ -181,6 +191,7 @@
         Connect::Up(group.handshake)
     }
 
+    /// A connection that [`Receivers::connect`] gave has ended.
     pub fn disconnected(&mut self, endpoint: EndpointId) {
         let own = &mut self.endpoints[endpoint.0 as usize];
         own.connections = own.connections.saturating_sub(1);
@@ -200,6 +211,7 @@
         own.chain(self.troubles.next_change(now, endpoint)).min()
     }
 
+    /// Which troubles stand at an endpoint now.
     pub fn conditions(&self, now: Duration, endpoint: EndpointId) -> Conditions {
         self.troubles.at(now, endpoint)
     }
--- a/crates/sailcart-lab/src/receivers/recovery.rs
+++ b/crates/sailcart-lab/src/receivers/recovery.rs
@@ -5,6 +5,7 @@
 
 use crate::experiment::Rules;
 
+/// Whether a destination that returns from an outage is still cold, and whether calls pushed it over.
 pub struct Recovery {
     rules: Rules,
     /// Calls a second once warm.
@@ -62,6 +63,7 @@
         self.back_for(now).is_none() || (recent + behind) as f64 + 1.0 <= self.budget(now) * 0.8
     }
 
+    /// It was pushed over, and stays down.
     pub fn fallen(&self) -> bool {
         self.fallen
     }
--- a/crates/sailcart-lab/src/receivers/troubles.rs
+++ b/crates/sailcart-lab/src/receivers/troubles.rs
@@ -7,24 +7,37 @@
 use crate::experiment::{Spoil, TroubleKind};
 use crate::plan::{Plan, Standing, Struck};
 
+/// What all troubles that stand at an endpoint at a time do together. Shares are from 0 to 1, of calls or, where
+/// they concern a part of one, of its packets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Conditions {
+    /// It refuses connections.
     pub down: bool,
+    /// Connections to it neither stand nor fail.
     pub black_hole: bool,
+    /// It takes calls and never answers.
     pub silent: bool,
     /// All is turned away until then; the share of refusals that tell it.
     pub shut: Option<(Duration, f64)>,
+    /// The share of calls answered with an error.
     pub errors: f64,
+    /// How many times its usual time a call takes.
     pub slow: f64,
     /// What is left of its limit.
     pub limit: f64,
+    /// The share of calls whose answer is lost.
     pub answer_lost: f64,
+    /// The share of calls whose connection breaks before their last byte.
     pub reset_before: f64,
+    /// The share of calls whose connection breaks in place of an answer.
     pub reset_after: f64,
+    /// The share of answers that cannot be read, and in which way.
     pub spoilt: Option<(f64, Spoil)>,
+    /// The share of packets, in calls with several, that are not accepted.
     pub partial: f64,
     /// The wait that an answer for several packets tells.
     pub wait: Duration,
+    /// It takes leave of the list.
     pub drains: bool,
     /// From when on one that drains turns calls away.
     pub drained: Duration,
@@ -52,6 +65,7 @@
     }
 }
 
+/// All troubles of a plan's endpoints, with their times.
 pub struct TroubleSchedule {
     /// By endpoint.
     struck: Vec<Vec<Struck>>,
@@ -61,6 +75,7 @@
 const MOST: f64 = 0.5;
 
 impl TroubleSchedule {
+    /// The troubles of a plan's endpoints.
     pub fn new(plan: &Plan) -> Self {
         let mut struck = vec![Vec::new(); plan.places.len()];
         for one in &plan.struck {
@@ -79,6 +94,7 @@
         TroubleSchedule { struck }
     }
 
+    /// What stands at an endpoint at a time.
     pub fn at(&self, now: Duration, endpoint: EndpointId) -> Conditions {
         use TroubleKind::*;
         let mut here = Conditions::default();
@@ -114,6 +130,7 @@
         self.struck[endpoint.0 as usize].iter().filter(refuse).map(|s| s.from).min()
     }
 
+    /// When a trouble next begins or ends at an endpoint.
     pub fn next_change(&self, now: Duration, endpoint: EndpointId) -> Option<Duration> {
         let times = self.struck[endpoint.0 as usize].iter().flat_map(|struck| [struck.from, struck.until]);
         times.filter(|at| *at > now).min()
--- a/crates/sailcart-lab/src/results/compare.rs
+++ b/crates/sailcart-lab/src/results/compare.rs
@@ -32,7 +32,9 @@
 /// One figure's difference, B less A, over the paired seeds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Difference {
+    /// The figure's name.
     pub figure: String,
+    /// Its mean over the pairs on either side.
     pub a: f64,
     pub b: f64,
     /// The standard error of the mean difference; `None` with one pair.
@@ -40,6 +42,7 @@
 }
 
 impl Difference {
+    /// The difference in words: equal, higher, lower, or within noise.
     pub fn verdict(&self) -> &'static str {
         let by = self.b - self.a;
         match self.spread {
@@ -52,6 +55,7 @@
     }
 }
 
+/// Every figure's difference over the results of one experiment and seed on both sides; none without such a pair.
 pub fn compare(a: &[Outcome], b: &[Outcome]) -> Vec<Difference> {
     let by_seed: BTreeMap<(u64, &str), &Outcome> =
         b.iter().map(|outcome| ((outcome.seed, outcome.experiment.as_str()), outcome)).collect();
@@ -72,6 +76,7 @@
     differences.collect()
 }
 
+/// Differences as a table of text.
 pub fn table(differences: &[Difference]) -> String {
     let mut text = format!("{:24}{:>14}{:>14}{:>14}{:>12}\n", "figure", "A", "B", "B - A", "spread");
     for line in differences {
--- a/crates/sailcart-lab/src/results/report.rs
+++ b/crates/sailcart-lab/src/results/report.rs
@@ -36,6 +36,15 @@
         outcome.span_s
     );
     verdict(outcome, &mut html);
+    pictures_over_time(outcome, &mut html);
+    distributions(outcome, &mut html);
+    tables(outcome, &mut html);
+    html.push_str("</html>\n");
+    html
+}
+
+/// A picture for all series that belong together, in the order of the result.
+fn pictures_over_time(outcome: &Outcome, html: &mut String) {
     let mut pictures: Vec<&str> = Vec::new();
     for series in &outcome.series {
         if !pictures.contains(&series.picture.as_str()) {
@@ -47,6 +56,9 @@
         let _ = write!(html, "<h2>{}</h2>", escape(picture));
         html.push_str(&over_time(outcome, &lines).unwrap_or_else(|fault| escape(&fault)));
     }
+}
+
+fn distributions(outcome: &Outcome, html: &mut String) {
     for (name, lines) in [
         ("time to delivery, from the intended moment", &outcome.delivery_ms),
         ("time to the client's answer", &outcome.answer_ms),
@@ -56,9 +68,6 @@
             html.push_str(&distribution(lines).unwrap_or_else(|fault| escape(&fault)));
         }
     }
-    tables(outcome, &mut html);
-    html.push_str("</html>\n");
-    html
 }
 
 fn verdict(outcome: &Outcome, html: &mut String) {
--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -14,6 +14,7 @@
 use crate::experiment::{Repeat, Rules};
 use crate::plan::{OriginId, Plan, SenderId};
 
+/// A call of a run, by its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
 
@@ -21,6 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GateId(pub usize);
 
+/// A rule that senders must keep; [`Rule::words`] says what it asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
@@ -33,9 +35,11 @@
 }
 
 impl Rule {
+    /// Every rule.
     pub const ALL: [Rule; 6] =
         [Rule::OneEnd, Rule::NoDouble, Rule::Drains, Rule::Return, Rule::Order, Rule::Waits];
 
+    /// What the rule asks for, as reports have it.
     pub fn words(self) -> &'static str {
         match self {
             Rule::OneEnd => "each packet taken gets exactly one end in time, nothing after",
@@ -51,8 +55,11 @@
 /// How a packet ended, as its client or the receiver of notices heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
+    /// It has run, and its sender knows.
     Done,
+    /// Handed back: its client may hand it in again.
     Dismissed,
+    /// Given up for good.
     Scrapped,
 }
 
@@ -204,6 +211,7 @@
     format!("{:.1} ms", at.as_micros() as f64 / 1000.0)
 }
 
+/// Sees a run from outside and counts broken rules.
 pub struct Watcher {
     record: Record,
     single: single::Single,
@@ -212,6 +220,7 @@
 }
 
 impl Watcher {
+    /// A watcher that has seen nothing.
     pub fn new(rules: &Rules) -> Self {
         let record = Record {
             rules: rules.clone(),
@@ -296,10 +305,12 @@
         self.single.finish(&mut self.record);
     }
 
+    /// The first breaches of each rule, in order of time.
     pub fn breaches(&self) -> &[Breach] {
         &self.record.breaches
     }
 
+    /// How often a rule was broken.
     pub fn count(&self, rule: Rule) -> u64 {
         self.record.counts.get(&rule).copied().unwrap_or(0)
     }
--- a/crates/sailcart-store/src/disk.rs
+++ b/crates/sailcart-store/src/disk.rs
@@ -10,12 +10,14 @@
 /// The name that other processes lock; never written to.
 const LOCK: &str = "lock";
 
+/// [`Files`] in a folder of the operating system.
 pub struct Disk {
     folder: PathBuf,
     lock: Option<File>,
 }
 
 impl Disk {
+    /// The files of a folder, which must be there.
     pub fn new(folder: &Path) -> Self {
         Disk { folder: folder.to_owned(), lock: None }
     }
--- a/crates/sailcart-store/src/fault.rs
+++ b/crates/sailcart-store/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+/// Why the store could not do what was asked; each says which file, where there is one.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
     /// Bytes that no crash explains. Nothing was changed.
@@ -27,6 +28,7 @@
     /// What was written may not have reached the disk. Only a new start can tell what stands.
     #[error("a sync failed earlier; the folder must be opened anew")]
     Unsure,
+    /// The operating system failed; `doing` says at what.
     #[error("{doing} {file}: {source}")]
     Io { doing: &'static str, file: String, source: io::Error },
 }
--- a/crates/sailcart-store/src/files.rs
+++ b/crates/sailcart-store/src/files.rs
@@ -4,6 +4,7 @@
 
 /// One folder. Names are plain file names in it.
 pub trait Files {
+    /// An open file.
     type File;
 
     /// Keeps other processes out for as long as `self` lives; [`io::ErrorKind::WouldBlock`] if one is in.
@@ -12,10 +13,13 @@
     fn list(&mut self) -> io::Result<Vec<(String, u64)>>;
     /// A new, empty file, which must not be there yet.
     fn create(&mut self, name: &str) -> io::Result<Self::File>;
+    /// An existing file, to be read and appended to.
     fn open(&mut self, name: &str) -> io::Result<Self::File>;
+    /// Reads at an offset; perhaps only a first part, whose length it tells, and 0 at the end.
     fn read_at(&mut self, file: &Self::File, offset: u64, into: &mut [u8]) -> io::Result<usize>;
     /// Writes at the end; perhaps only a first part, whose length it tells.
     fn append(&mut self, file: &mut Self::File, bytes: &[u8]) -> io::Result<usize>;
+    /// Cuts a file to a length.
     fn truncate(&mut self, file: &mut Self::File, length: u64) -> io::Result<()>;
     /// What was written to the file outlives the power.
     fn sync(&mut self, file: &Self::File) -> io::Result<()>;
@@ -23,6 +27,7 @@
     fn sync_folder(&mut self) -> io::Result<()>;
     /// Puts one file in the place of another, as one step.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
     fn remove(&mut self, name: &str) -> io::Result<()>;
 }
 
--- a/crates/sailcart-store/src/frame.rs
+++ b/crates/sailcart-store/src/frame.rs
@@ -22,12 +22,14 @@
 /// What a write changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change<'a> {
+    /// The key stands for this value from now on.
     Put(&'a [u8], &'a [u8]),
     /// The key stands for nothing any more.
     End(&'a [u8]),
 }
 
 impl<'a> Change<'a> {
+    /// The key that it changes.
     pub fn key(&self) -> &'a [u8] {
         match self {
             Change::Put(key, _) | Change::End(key) => key,
--- a/crates/sailcart-store/src/recovery.rs
+++ b/crates/sailcart-store/src/recovery.rs
@@ -17,9 +17,11 @@
 pub struct Standing {
     /// Keys that stand for something.
     pub keys: usize,
+    /// Files of the log.
     pub segments: usize,
     /// Bytes of all segments, each counted in whole 512.
     pub bytes: u64,
+    /// Frames that were read.
     pub records: u64,
     /// Bytes of a torn end that were cut: their record never counted.
     pub cut: u64,
--- a/crates/sailcart-store/src/salvage.rs
+++ b/crates/sailcart-store/src/salvage.rs
@@ -12,6 +12,7 @@
 /// What came over, and what did not.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Salvaged {
+    /// Keys whose value came over.
     pub keys: usize,
     /// Stretches that could not be read: file, from, length.
     pub given_up: Vec<(String, u64, u64)>,
