--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -12,6 +12,7 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, clap::ValueEnum,
 )]
+/// Who decides, as named on the command line and in results.
 #[serde(rename_all = "kebab-case")]
 pub enum PolicyName {
     /// The module.
@@ -28,6 +29,7 @@
 }
 
 impl PolicyName {
+    /// Every policy, the module first.
     pub const ALL: [PolicyName; 5] = [
         PolicyName::Sailcart,
         PolicyName::OneTry,
@@ -36,6 +38,7 @@
         PolicyName::Oracle,
     ];
 
+    /// The name as the command line has it.
     pub fn word(self) -> &'static str {
         match self {
             PolicyName::Sailcart => "sailcart",
@@ -48,7 +51,7 @@
 }
 
 /// What only the oracle may look at.
-pub trait Eyes {
+pub trait OracleView {
     /// When a call that came now, behind those on their way and `also` others, would be answered with success, if
     /// it would.
     fn would_finish(&self, now: Duration, endpoint: EndpointId, also: usize) -> Option<Duration>;
@@ -56,14 +59,17 @@
 
 /// One sender's decisions; the calls of [`Sender`], and what a baseline needs in their place.
 pub trait Policy {
+    /// The list of endpoints, or changes of it, as [`Sender::list`] hears them.
     fn list(&mut self, now: Duration, whole: bool, lines: &[Listing]);
+    /// A packet that a client handed in, or that the journal held at the start.
     fn take(&mut self, now: Duration, packet: Packet);
+    /// How a dispatch came back after `elapsed`; `over` if the packet has its end.
     fn outcome(&mut self, now: Duration, id: PacketId, elapsed: Duration, outcome: Outcome, over: bool);
     /// What the answer of a dispatch tells of the limit, before its outcome. No baseline heeds it.
     fn report(&mut self, _: PacketId, _: Report) {}
     /// Asked before the first byte of a call that waited for its connection.
     fn may_still_go(&self, now: Duration, id: PacketId) -> bool;
-    fn decide(&mut self, now: Duration, eyes: &dyn Eyes, host: &mut dyn Host);
+    fn decide(&mut self, now: Duration, view: &dyn OracleView, host: &mut dyn Host);
 }
 
 /// Lets the module act through a host known only by its trait.
@@ -120,7 +126,7 @@
         Sender::may_still_go(self, now, id)
     }
 
-    fn decide(&mut self, now: Duration, _: &dyn Eyes, host: &mut dyn Host) {
+    fn decide(&mut self, now: Duration, _: &dyn OracleView, host: &mut dyn Host) {
         Sender::decide(self, now, &mut Through(host));
     }
 }
--- a/crates/sailcart-lab/src/receivers/limit.rs
+++ b/crates/sailcart-lab/src/receivers/limit.rs
@@ -9,8 +9,9 @@
 /// Seconds of its rate that an even limit grants at once.
 const BURST: f64 = 1.0;
 
+/// A limit on calls, and how much of it is used.
 #[derive(Clone, Debug)]
-pub struct Gauge {
+pub struct RateLimiter {
     limit: Limit,
     /// The rate that is usual.
     rate: f64,
@@ -19,10 +20,11 @@
     at: Duration,
 }
 
-impl Gauge {
+impl RateLimiter {
+    /// A limit of which nothing is used yet.
     pub fn new(limit: &Limit) -> Self {
         let level = if limit.by == LimitBy::Rate { (limit.rate * BURST).max(1.0) } else { 0.0 };
-        Gauge { limit: limit.clone(), rate: limit.rate, level, at: Duration::ZERO }
+        RateLimiter { limit: limit.clone(), rate: limit.rate, level, at: Duration::ZERO }
     }
 
     /// From now on its limit is this share of the usual. What is left by now stays, or what is used.
--- a/crates/sailcart-lab/src/receivers/mod.rs
+++ b/crates/sailcart-lab/src/receivers/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod limit;
 pub mod recovery;
-mod weather;
+mod troubles;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -17,27 +17,42 @@
 
 use crate::experiment::{Destinations, Repeat, Spoil};
 use crate::plan::{OriginId, Plan, chance};
-use limit::Gauge;
+use limit::RateLimiter;
 use recovery::Recovery;
-pub use weather::{Conditions, Weather};
+pub use troubles::{Conditions, TroubleSchedule};
 
 /// How a connection attempt fares.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Connect {
+    /// Nobody listens there, or not for one more.
     Refused,
+    /// Nothing comes back, neither acceptance nor refusal.
     Never,
     /// It stands; the first call on it starts so much later.
     Up(Duration),
 }
 
+/// How long an answer takes that needs no work.
+const AT_ONCE: Duration = Duration::from_millis(2);
+
 /// One packet of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Piece {
     pub origin: OriginId,
+    /// What a receiver does with a repeat.
     pub repeat: Repeat,
+    /// For how long it knows a repeat as one.
     pub memory: Duration,
 }
 
+impl Piece {
+    /// A packet wanted, as its receiver sees it.
+    pub fn new(plan: &Plan, origin: OriginId) -> Self {
+        let category = plan.category(plan.origins[origin.0].category);
+        Piece { origin, repeat: category.repeat, memory: category.memory.unwrap_or_default() }
+    }
+}
+
 /// What a call is answered, as a whole or for each packet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -60,10 +75,14 @@
     }
 }
 
+/// What an answer for several packets says of one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PieceAnswer {
+    /// It took effect.
     Accepted,
+    /// It failed; it may have taken effect.
     Fault,
+    /// It was turned away; it never ran.
     Deferred,
 }
 
@@ -80,9 +99,22 @@
     pub fell: bool,
 }
 
+impl Reception {
+    /// The connection breaks before the call begins.
+    fn reset(now: Duration, pieces: usize, fell: bool) -> Self {
+        Reception { answer: Some((now, Answer::Reset)), effects: vec![false; pieces], report: None, fell }
+    }
+
+    /// The call is turned away.
+    fn full(now: Duration, pieces: usize, wait: Option<Duration>, report: Option<Report>) -> Self {
+        let answer = Some((now + AT_ONCE, Answer::Full(wait)));
+        Reception { answer, effects: vec![false; pieces], report, fell: false }
+    }
+}
+
 /// What senders share at a destination or, where routes are apart, at an endpoint.
 struct Gate {
-    gauge: Gauge,
+    limiter: RateLimiter,
     recovery: Recovery,
 }
 
@@ -96,8 +128,9 @@
     connections: usize,
 }
 
+/// All receivers of a plan.
 pub struct Receivers {
-    weather: Weather,
+    troubles: TroubleSchedule,
     endpoints: Vec<Endpoint>,
     gates: Vec<Gate>,
     /// Packets that took effect and may do so again, by destination; when they are forgotten.
@@ -106,18 +139,19 @@
 }
 
 impl Receivers {
+    /// All receivers at the start of a run, without connections.
     pub fn new(plan: &Plan) -> Self {
         let (mut gates, mut endpoints) = (Vec::new(), Vec::<Endpoint>::new());
         let mut shared: BTreeMap<DestinationId, usize> = BTreeMap::new();
-        let weather = Weather::new(plan);
+        let troubles = TroubleSchedule::new(plan);
         for place in &plan.places {
             let group = plan.group(place.destination);
             let destination = plan.destination(place.destination);
             let mut open = || {
                 let capacity = destination.capacity;
-                let outages = weather.outages(place.endpoint);
+                let outages = troubles.outages(place.endpoint);
                 gates.push(Gate {
-                    gauge: Gauge::new(&group.limit),
+                    limiter: RateLimiter::new(&group.limit),
                     recovery: Recovery::new(&plan.experiment.rules, capacity, outages),
                 });
                 gates.len() - 1
@@ -136,14 +170,14 @@
             });
         }
         let rng = chance(plan.seed, 4);
-        Receivers { weather, endpoints, gates, remembered: BTreeMap::new(), rng }
+        Receivers { troubles, endpoints, gates, remembered: BTreeMap::new(), rng }
     }
 
     /// A sender wants a connection. One that stands counts until [`Receivers::disconnected`].
     pub fn connect(&mut self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Connect {
         let place = plan.place(endpoint);
         let group = plan.group(place.destination);
-        let conditions = self.weather.at(now, endpoint);
+        let conditions = self.troubles.at(now, endpoint);
         let own = &mut self.endpoints[endpoint.0 as usize];
         if conditions.black_hole {
             return Connect::Never;
@@ -157,6 +191,7 @@
         Connect::Up(group.handshake)
     }
 
+    /// A connection that [`Receivers::connect`] gave has ended.
     pub fn disconnected(&mut self, endpoint: EndpointId) {
         let own = &mut self.endpoints[endpoint.0 as usize];
         own.connections = own.connections.saturating_sub(1);
@@ -166,23 +201,24 @@
     pub fn reachable(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> bool {
         let place = plan.place(endpoint);
         let fallen = self.gates[self.endpoints[endpoint.0 as usize].gate].recovery.fallen();
-        now < place.gone && !fallen && !self.weather.at(now, endpoint).down
+        now < place.gone && !fallen && !self.troubles.at(now, endpoint).down
     }
 
     /// When anything about it next changes by itself.
     pub fn next_change(&self, plan: &Plan, now: Duration, endpoint: EndpointId) -> Option<Duration> {
         let place = plan.place(endpoint);
         let own = [place.from, place.gone].into_iter().filter(|at| *at > now && *at < Duration::MAX);
-        own.chain(self.weather.next_change(now, endpoint)).min()
+        own.chain(self.troubles.next_change(now, endpoint)).min()
     }
 
+    /// Which troubles stand at an endpoint now.
     pub fn conditions(&self, now: Duration, endpoint: EndpointId) -> Conditions {
-        self.weather.at(now, endpoint)
+        self.troubles.at(now, endpoint)
     }
 
     /// Whether a connection breaks before a call's last byte.
     pub fn cuts_before(&mut self, now: Duration, endpoint: EndpointId) -> bool {
-        let share = self.weather.at(now, endpoint).reset_before;
+        let share = self.troubles.at(now, endpoint).reset_before;
         share > 0.0 && self.rng.random_bool(share)
     }
 
@@ -194,79 +230,104 @@
         endpoint: EndpointId,
         pieces: &[Piece],
     ) -> Reception {
-        let conditions = self.weather.at(now, endpoint);
-        let group = plan.group(self.endpoints[endpoint.0 as usize].destination);
-        let gate = self.endpoints[endpoint.0 as usize].gate;
-        let none = vec![false; pieces.len()];
         if !self.reachable(plan, now, endpoint) {
-            return Reception {
-                answer: Some((now, Answer::Reset)),
-                effects: none,
-                report: None,
-                fell: false,
-            };
-        }
-        let Gate { gauge, recovery } = &mut self.gates[gate];
-        if recovery.push(now) {
-            return Reception { answer: Some((now, Answer::Reset)), effects: none, report: None, fell: true };
+            return Reception::reset(now, pieces.len(), false);
         }
-        let soon = now + Duration::from_millis(2);
-        let full = |wait, report| Reception {
-            answer: Some((soon, Answer::Full(wait))),
-            effects: vec![false; pieces.len()],
-            report,
-            fell: false,
-        };
-        if let Some((until, tells)) = conditions.shut {
-            let tells = tells > 0.0 && self.rng.random_bool(tells);
-            return full(tells.then(|| until.saturating_sub(now)), None);
+        let gate = self.endpoints[endpoint.0 as usize].gate;
+        if self.gates[gate].recovery.push(now) {
+            return Reception::reset(now, pieces.len(), true);
         }
-        if conditions.drains && now >= conditions.drained {
-            return full(None, None);
+        let conditions = self.troubles.at(now, endpoint);
+        if let Some(wait) = self.shut(now, &conditions) {
+            return Reception::full(now, pieces.len(), wait, None);
         }
-        gauge.lower(now, conditions.limit);
-        let room = gauge.take(now);
-        let report = group.report.then(|| gauge.report(now)).flatten();
+        let group = plan.group(self.endpoints[endpoint.0 as usize].destination);
+        let limiter = &mut self.gates[gate].limiter;
+        limiter.lower(now, conditions.limit);
+        let room = limiter.take(now);
+        let report = group.report.then(|| limiter.report(now)).flatten();
         if let Err(wait) = room {
-            let tells = group.limit.tells > 0.0 && self.rng.random_bool(group.limit.tells);
-            return full(tells.then_some(wait), report);
+            let tells = self.strikes(group.limit.tells);
+            return Reception::full(now, pieces.len(), tells.then_some(wait), report);
         }
         let fresh: Vec<bool> = pieces.iter().map(|piece| self.is_fresh(now, endpoint, piece)).collect();
-        if conditions.errors > 0.0 && self.rng.random_bool(conditions.errors) {
-            // It failed somewhere on the way: for half of them after the work was done.
-            let ran = self.rng.random_bool(0.5);
-            let effects: Vec<bool> = fresh.iter().map(|fresh| *fresh && ran).collect();
-            self.remember(now, endpoint, pieces, &effects);
-            return Reception { answer: Some((soon, Answer::Error)), effects, report, fell: false };
+        if self.strikes(conditions.errors) {
+            return self.fail(now, endpoint, pieces, fresh, report);
         }
-        let Some(finish) = self.work(plan, now, endpoint, &conditions, group, &fresh) else {
-            return full(None, report);
-        };
+        match self.work(plan, now, endpoint, &conditions, group, &fresh) {
+            None => Reception::full(now, pieces.len(), None, report),
+            Some(finish) => {
+                let (answer, effects) = self.complete(now, endpoint, &conditions, pieces, fresh, finish);
+                Reception { answer, effects, report, fell: false }
+            }
+        }
+    }
+
+    /// Whether something with this share of all cases happens in this one.
+    fn strikes(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    /// Whether all calls are turned away; then the wait, where it is told.
+    fn shut(&mut self, now: Duration, conditions: &Conditions) -> Option<Option<Duration>> {
+        if let Some((until, tells)) = conditions.shut {
+            let tells = self.strikes(tells);
+            return Some(tells.then(|| until.saturating_sub(now)));
+        }
+        (conditions.drains && now >= conditions.drained).then_some(None)
+    }
+
+    /// A call fails somewhere on the way: half of them after the work was done.
+    fn fail(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointId,
+        pieces: &[Piece],
+        fresh: Vec<bool>,
+        report: Option<Report>,
+    ) -> Reception {
+        let ran = self.rng.random_bool(0.5);
+        let effects: Vec<bool> = fresh.iter().map(|fresh| *fresh && ran).collect();
+        self.remember(now, endpoint, pieces, &effects);
+        Reception { answer: Some((now + AT_ONCE, Answer::Error)), effects, report, fell: false }
+    }
+
+    /// A call was worked on until `finish`: when and what it is answered, if it is, and which of its packets took
+    /// effect.
+    fn complete(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointId,
+        conditions: &Conditions,
+        pieces: &[Piece],
+        fresh: Vec<bool>,
+        finish: Duration,
+    ) -> (Option<(Duration, Answer)>, Vec<bool>) {
         let mut effects = fresh;
-        let answer = self.answer(&conditions, pieces, &mut effects);
+        let answer = self.answer(conditions, pieces, &mut effects);
         self.remember(now, endpoint, pieces, &effects);
-        let down = self.weather.next_down(now, endpoint).filter(|down| *down < finish);
-        let answer = match answer {
-            _ if conditions.silent => None,
+        if conditions.silent {
+            return (None, effects);
+        }
+        let down = self.troubles.next_down(now, endpoint).filter(|down| *down < finish);
+        let answer = match down {
             // It dies with the call at work.
-            _ if down.is_some() => down.map(|down| (down, Answer::Reset)),
-            Some(answer) => Some((finish, answer)),
-            None => None,
+            Some(down) => Some((down, Answer::Reset)),
+            None => answer.map(|answer| (finish, answer)),
         };
-        Reception { answer, effects, report, fell: false }
+        (answer, effects)
     }
 
     /// How a call at work ends, and which of its packets take effect after all.
     fn answer(&mut self, conditions: &Conditions, pieces: &[Piece], effects: &mut [bool]) -> Option<Answer> {
-        let mut struck = |share: f64| share > 0.0 && self.rng.random_bool(share);
-        if struck(conditions.answer_lost) {
+        if self.strikes(conditions.answer_lost) {
             return None;
         }
-        if struck(conditions.reset_after) {
+        if self.strikes(conditions.reset_after) {
             return Some(Answer::Reset);
         }
         if let Some((share, manner)) = conditions.spoilt
-            && struck(share)
+            && self.strikes(share)
         {
             return Some(Answer::Spoilt(manner));
         }
@@ -275,9 +336,9 @@
         }
         let mut each = Vec::with_capacity(pieces.len());
         for effect in effects.iter_mut() {
-            each.push(match struck(conditions.partial) {
+            each.push(match self.strikes(conditions.partial) {
                 false => PieceAnswer::Accepted,
-                true if struck(0.5) => {
+                true if self.strikes(0.5) => {
                     *effect = false;
                     PieceAnswer::Deferred
                 }
@@ -345,14 +406,18 @@
         let place = plan.place(endpoint);
         let own = &self.endpoints[endpoint.0 as usize];
         let gate = &self.gates[own.gate];
-        let conditions = self.weather.at(now, endpoint);
+        let conditions = self.troubles.at(now, endpoint);
         let troubled = conditions.black_hole || conditions.silent || conditions.shut.is_some();
         let lossy = conditions.errors + conditions.answer_lost + conditions.reset_after > 0.5;
         let group = plan.group(own.destination);
         let there = place.from <= now && self.reachable(plan, now, endpoint) && now < conditions.drained;
-        let mut gauge = gate.gauge.clone();
-        gauge.lower(now, conditions.limit);
-        if !there || troubled || lossy || !gauge.has_room(now, behind) || !gate.recovery.has_room(now, behind)
+        let mut limiter = gate.limiter.clone();
+        limiter.lower(now, conditions.limit);
+        if !there
+            || troubled
+            || lossy
+            || !limiter.has_room(now, behind)
+            || !gate.recovery.has_room(now, behind)
         {
             return None;
         }
--- a/crates/sailcart-lab/src/receivers/weather.rs
+++ b/crates/sailcart-lab/src/receivers/troubles.rs
@@ -7,24 +7,37 @@
 use crate::experiment::{Spoil, TroubleKind};
 use crate::plan::{Plan, Standing, Struck};
 
+/// What all troubles that stand at an endpoint at a time do together. Shares are from 0 to 1, of calls or, where
+/// they concern a part of one, of its packets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Conditions {
+    /// It refuses connections.
     pub down: bool,
+    /// Connections to it neither stand nor fail.
     pub black_hole: bool,
+    /// It takes calls and never answers.
     pub silent: bool,
     /// All is turned away until then; the share of refusals that tell it.
     pub shut: Option<(Duration, f64)>,
+    /// The share of calls answered with an error.
     pub errors: f64,
+    /// How many times its usual time a call takes.
     pub slow: f64,
     /// What is left of its limit.
     pub limit: f64,
+    /// The share of calls whose answer is lost.
     pub answer_lost: f64,
+    /// The share of calls whose connection breaks before their last byte.
     pub reset_before: f64,
+    /// The share of calls whose connection breaks in place of an answer.
     pub reset_after: f64,
+    /// The share of answers that cannot be read, and in which way.
     pub spoilt: Option<(f64, Spoil)>,
+    /// The share of packets, in calls with several, that are not accepted.
     pub partial: f64,
     /// The wait that an answer for several packets tells.
     pub wait: Duration,
+    /// It takes leave of the list.
     pub drains: bool,
     /// From when on one that drains turns calls away.
     pub drained: Duration,
@@ -52,7 +65,8 @@
     }
 }
 
-pub struct Weather {
+/// All troubles of a plan's endpoints, with their times.
+pub struct TroubleSchedule {
     /// By endpoint.
     struck: Vec<Vec<Struck>>,
 }
@@ -60,7 +74,8 @@
 /// Errors for most calls count as an outage.
 const MOST: f64 = 0.5;
 
-impl Weather {
+impl TroubleSchedule {
+    /// The troubles of a plan's endpoints.
     pub fn new(plan: &Plan) -> Self {
         let mut struck = vec![Vec::new(); plan.places.len()];
         for one in &plan.struck {
@@ -69,16 +84,17 @@
                 struck[endpoint.0 as usize].push(light.clone());
             }
         }
-        // What takes a place at the old address has the old one's weather, but for its drain.
+        // What takes a place at the old address has the old one's troubles, but for its drain.
         for place in plan.places.iter().filter(|place| place.address != place.endpoint) {
             let inherited = struck[place.address.0 as usize].clone();
             let drains = |s: &Struck| matches!(s.trouble.kind, TroubleKind::Drain | TroubleKind::Replace);
             struck[place.endpoint.0 as usize] = inherited.into_iter().filter(|s| !drains(s)).collect();
         }
         debug_assert!(plan.changes.iter().all(|c| c.standing != Standing::Gone || c.at > Duration::ZERO));
-        Weather { struck }
+        TroubleSchedule { struck }
     }
 
+    /// What stands at an endpoint at a time.
     pub fn at(&self, now: Duration, endpoint: EndpointId) -> Conditions {
         use TroubleKind::*;
         let mut here = Conditions::default();
@@ -114,6 +130,7 @@
         self.struck[endpoint.0 as usize].iter().filter(refuse).map(|s| s.from).min()
     }
 
+    /// When a trouble next begins or ends at an endpoint.
     pub fn next_change(&self, now: Duration, endpoint: EndpointId) -> Option<Duration> {
         let times = self.struck[endpoint.0 as usize].iter().flat_map(|struck| [struck.from, struck.until]);
         times.filter(|at| *at > now).min()
--- a/crates/sailcart-lab/src/simulated/rounds.rs
+++ b/crates/sailcart-lab/src/simulated/rounds.rs
@@ -8,19 +8,19 @@
 use super::sender::{Acts, Cancel};
 use super::world::World;
 use crate::plan::{Plan, SenderId};
-use crate::policies::Eyes;
+use crate::policies::OracleView;
 use crate::receivers::Receivers;
 use crate::watcher::Seen;
 
 /// What a round may look at, if its policy is the oracle.
-struct Sight<'a> {
+struct WorldView<'a> {
     plan: &'a Plan,
     receivers: &'a Receivers,
     /// Calls on their way, by gate.
     going: &'a [usize],
 }
 
-impl Eyes for Sight<'_> {
+impl OracleView for WorldView<'_> {
     fn would_finish(&self, now: Duration, endpoint: EndpointId, also: usize) -> Option<Duration> {
         let behind = self.going[self.receivers.gate(endpoint)] + also;
         self.receivers.would_finish(self.plan, now, endpoint, behind)
@@ -31,10 +31,10 @@
     /// A sender takes a packet that a client handed in.
     pub fn take(&mut self, sender: SenderId, packet: PacketId) {
         let taken = self.describe(packet);
-        let post = &mut self.posts[sender.0];
-        post.held.insert(packet);
-        post.fresh.push(packet);
-        if let Some(policy) = &mut post.policy {
+        let state = &mut self.senders[sender.0];
+        state.held.insert(packet);
+        state.fresh.push(packet);
+        if let Some(policy) = &mut state.policy {
             policy.take(self.now, taken);
         }
         self.request_round(sender);
@@ -42,7 +42,7 @@
 
     /// A packet as its sender knows it.
     pub fn describe(&self, packet: PacketId) -> sailcart::Packet {
-        let parcel = self.parcel(packet);
+        let submission = self.submission(packet);
         let origin = self.origin_of(packet);
         sailcart::Packet {
             id: packet,
@@ -50,28 +50,28 @@
             category: origin.category,
             customer: origin.customer,
             key: origin.key,
-            ends: parcel.ends,
-            dispatches: parcel.dispatches,
-            doubt: parcel.doubt,
+            ends: submission.ends,
+            dispatches: submission.dispatches,
+            doubt: submission.doubt,
             taken_on: false,
         }
     }
 
     /// Something came in: a round is due, but not too soon after the last.
     pub fn request_round(&mut self, sender: SenderId) {
-        let post = &mut self.posts[sender.0];
-        let at = post.next_round.max(self.now);
-        if post.round_at.is_none_or(|due| due > at) {
-            post.round_at = Some(at);
-            self.queue.push(at, Event::Round { sender, life: post.life });
+        let state = &mut self.senders[sender.0];
+        let at = state.next_round.max(self.now);
+        if state.round_at.is_none_or(|due| due > at) {
+            state.round_at = Some(at);
+            self.queue.push(at, Event::Round { sender, life: state.life });
         }
     }
 
     /// A round that was asked for in a certain life of a sender; nothing if that life is over.
     pub fn round(&mut self, sender: SenderId, life: u32) {
-        let post = &self.posts[sender.0];
-        let lives_on = post.life == life && post.policy.is_some();
-        if !lives_on || post.round_at.is_none_or(|due| due > self.now) {
+        let state = &self.senders[sender.0];
+        let lives_on = state.life == life && state.policy.is_some();
+        if !lives_on || state.round_at.is_none_or(|due| due > self.now) {
             return;
         }
         let acts = self.decide(sender);
@@ -92,32 +92,32 @@
     /// Asks the policy what it wants.
     fn decide(&mut self, sender: SenderId) -> Acts {
         let mut acts = Acts::default();
-        let sight = Sight { plan: self.plan, receivers: &self.receivers, going: &self.going };
-        let post = &mut self.posts[sender.0];
-        post.begin_round(self.now, self.plan.experiment.senders.round);
-        if let Some(policy) = &mut post.policy {
-            policy.decide(self.now, &sight, &mut acts);
+        let view = WorldView { plan: self.plan, receivers: &self.receivers, going: &self.going };
+        let state = &mut self.senders[sender.0];
+        state.begin_round(self.now, self.plan.experiment.senders.round);
+        if let Some(policy) = &mut state.policy {
+            policy.decide(self.now, &view, &mut acts);
         }
         acts
     }
 
     /// Has the sender woken when its policy asked for it, now or earlier.
     fn schedule_wake(&mut self, sender: SenderId, after: Option<Duration>) {
-        let post = &mut self.posts[sender.0];
+        let state = &mut self.senders[sender.0];
         if let Some(after) = after {
-            post.wake_by(self.now + after);
+            state.wake_by(self.now + after);
         }
-        if let Some(at) = post.wake_at {
-            let at = at.max(post.next_round);
-            post.round_at = Some(at);
-            self.queue.push(at, Event::Round { sender, life: post.life });
+        if let Some(at) = state.wake_at {
+            let at = at.max(state.next_round);
+            state.round_at = Some(at);
+            self.queue.push(at, Event::Round { sender, life: state.life });
         }
     }
 
     /// What was taken since the last round, and is not over, is written: its clients hear so.
     fn confirm_taken(&mut self, sender: SenderId) {
-        for packet in std::mem::take(&mut self.posts[sender.0].fresh) {
-            if self.parcel(packet).end.is_none() {
+        for packet in std::mem::take(&mut self.senders[sender.0].fresh) {
+            if self.submission(packet).end.is_none() {
                 self.answer_client(packet);
                 self.see(Seen::Taken(packet));
             }
@@ -125,7 +125,7 @@
     }
 
     fn cancel(&mut self, cancel: Cancel) {
-        if let Some(call) = self.parcel(cancel.packet).call_of(cancel.dispatch) {
+        if let Some(call) = self.submission(cancel.packet).call_of(cancel.dispatch) {
             self.queue.push(self.now, Event::GiveUp(call, Outcome::Cancelled));
         }
     }
--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -12,8 +12,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::experiment::{Repeat, Rules};
-use crate::plan::{OriginId, SenderId};
+use crate::plan::{OriginId, Plan, SenderId};
 
+/// A call of a run, by its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
 
@@ -21,6 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GateId(pub usize);
 
+/// A rule that senders must keep; [`Rule::words`] says what it asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
@@ -33,9 +35,11 @@
 }
 
 impl Rule {
+    /// Every rule.
     pub const ALL: [Rule; 6] =
         [Rule::OneEnd, Rule::NoDouble, Rule::Drains, Rule::Return, Rule::Order, Rule::Waits];
 
+    /// What the rule asks for, as reports have it.
     pub fn words(self) -> &'static str {
         match self {
             Rule::OneEnd => "each packet taken gets exactly one end in time, nothing after",
@@ -51,8 +55,11 @@
 /// How a packet ended, as its client or the receiver of notices heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
+    /// It has run, and its sender knows.
     Done,
+    /// Handed back: its client may hand it in again.
     Dismissed,
+    /// Given up for good.
     Scrapped,
 }
 
@@ -70,6 +77,25 @@
     pub ends: Duration,
 }
 
+impl Handed {
+    /// A packet wanted, as a client hands it in to a sender.
+    pub fn new(plan: &Plan, packet: PacketId, origin: OriginId, sender: SenderId) -> Self {
+        let wanted = &plan.origins[origin.0];
+        let category = plan.category(wanted.category);
+        Handed {
+            packet,
+            origin,
+            sender,
+            destination: wanted.destination,
+            repeat: category.repeat,
+            in_order: category.in_order,
+            key: wanted.key,
+            ends: wanted.at + category.patience,
+        }
+    }
+}
+
+/// What an outsider sees.
 #[derive(Clone, Debug)]
 pub enum Seen {
     Handed(Handed),
@@ -151,6 +177,13 @@
     pub abandoned: bool,
 }
 
+impl Kept {
+    /// A packet just handed in.
+    fn new(handed: Handed) -> Self {
+        Kept { handed, taken: None, end: None, out: None, last_came: None, abandoned: false }
+    }
+}
+
 #[derive(Clone)]
 pub(crate) struct Call {
     pub came: Duration,
@@ -178,6 +211,7 @@
     format!("{:.1} ms", at.as_micros() as f64 / 1000.0)
 }
 
+/// Sees a run from outside and counts broken rules.
 pub struct Watcher {
     record: Record,
     single: single::Single,
@@ -186,6 +220,7 @@
 }
 
 impl Watcher {
+    /// A watcher that has seen nothing.
     pub fn new(rules: &Rules) -> Self {
         let record = Record {
             rules: rules.clone(),
@@ -211,15 +246,7 @@
         self.single.overdue(record);
         match seen {
             Seen::Handed(handed) => {
-                let kept = Kept {
-                    handed: *handed,
-                    taken: None,
-                    end: None,
-                    out: None,
-                    last_came: None,
-                    abandoned: false,
-                };
-                record.packets.insert(handed.packet, kept);
+                record.packets.insert(handed.packet, Kept::new(*handed));
                 self.order.handed(record, handed);
             }
             Seen::Taken(packet) => self.single.taken(record, *packet),
@@ -232,36 +259,17 @@
                 self.order.ended(*packet);
             }
             Seen::Came { call, sender, endpoint, gate, packets } => {
-                let came = Call {
-                    came: now,
-                    sender: *sender,
-                    endpoint: *endpoint,
-                    gate: *gate,
-                    packets: packets.clone(),
-                };
-                self.restraint.came(record, &came);
-                self.order.came(record, &came);
-                self.single.came(record, *call, &came);
-                record.calls.insert(*call, came);
+                let (sender, endpoint, gate) = (*sender, *endpoint, *gate);
+                self.came(*call, Call { came: now, sender, endpoint, gate, packets: packets.clone() });
             }
             Seen::Ran(call, effects) => self.single.ran(record, *call, effects),
-            Seen::Over { call, heard } => {
-                let Some(over) = record.calls.remove(call) else { return };
-                self.single.over(record, *call, &over);
-                self.order.over(record, &over, *heard);
-                self.restraint.over(record, &over, *heard);
-            }
+            Seen::Over { call, heard } => self.over(*call, *heard),
             Seen::NoConnection { sender, gate } => self.restraint.lost(*sender, *gate),
             Seen::ToldOff(sender, endpoint) => self.restraint.told_off(record, *sender, *endpoint),
             Seen::ToldOn(sender, endpoint) => self.restraint.told_on(*sender, *endpoint),
             Seen::OutageFrom(gate) => self.restraint.outage(*gate),
             Seen::Fell(gate) => self.restraint.fell(record, *gate),
-            Seen::SenderDown(sender) => {
-                record.down.insert(*sender);
-                self.single.down(record, *sender);
-                self.restraint.restarted(*sender);
-                self.order.restarted(record, *sender);
-            }
+            Seen::SenderDown(sender) => self.sender_down(*sender),
             Seen::SenderUp(sender) => {
                 record.down.remove(sender);
                 self.single.back(record, *sender);
@@ -269,6 +277,27 @@
         }
     }
 
+    fn came(&mut self, id: CallId, call: Call) {
+        self.restraint.came(&mut self.record, &call);
+        self.order.came(&mut self.record, &call);
+        self.single.came(&mut self.record, id, &call);
+        self.record.calls.insert(id, call);
+    }
+
+    fn over(&mut self, id: CallId, heard: Heard) {
+        let Some(call) = self.record.calls.remove(&id) else { return };
+        self.single.over(&mut self.record, id, &call);
+        self.order.over(&self.record, &call, heard);
+        self.restraint.over(&self.record, &call, heard);
+    }
+
+    fn sender_down(&mut self, sender: SenderId) {
+        self.record.down.insert(sender);
+        self.single.down(&self.record, sender);
+        self.restraint.restarted(sender);
+        self.order.restarted(&self.record, sender);
+    }
+
     /// All is over: what has no end now never gets one.
     pub fn finish(&mut self, now: Duration) {
         self.record.now = now.max(self.record.now);
@@ -276,10 +305,12 @@
         self.single.finish(&mut self.record);
     }
 
+    /// The first breaches of each rule, in order of time.
     pub fn breaches(&self) -> &[Breach] {
         &self.record.breaches
     }
 
+    /// How often a rule was broken.
     pub fn count(&self, rule: Rule) -> u64 {
         self.record.counts.get(&rule).copied().unwrap_or(0)
     }
