--- a/crates/sailcart-lab/tests/recorded_days.rs
+++ b/crates/sailcart-lab/tests/recorded_days.rs
@@ -12,7 +12,7 @@
 use sailcart_lab::events::Log;
 use sailcart_lab::experiment::read_text;
 use sailcart_lab::plan::Plan;
-use sailcart_lab::policies::{Eyes, Policy, PolicyName};
+use sailcart_lab::policies::{OracleView, Policy, PolicyName};
 use sailcart_lab::{shipped, simulated};
 
 const ON_RECORD: &str = include_str!("recorded_days.txt");
@@ -119,7 +119,7 @@
     fn may_still_go(&self, now: Duration, id: PacketId) -> bool {
         self.inner.may_still_go(now, id)
     }
-    fn decide(&mut self, now: Duration, _: &dyn Eyes, host: &mut dyn Host) {
+    fn decide(&mut self, now: Duration, _: &dyn OracleView, host: &mut dyn Host) {
         let Recorded { inner, seed, calls, dispatched_to } = self;
         inner.decide(now, &mut Noting { host, now, seed: *seed, calls, dispatched_to });
     }
