sailcart-lab capacity: what a sender costs by size, held against the planned size

Two years from now there are to be 2,600 senders and 440,000 destinations, and nobody could say which part of a sender stands in the way first. `sailcart-lab capacity` measures sender processes (list, changes, held packets, recovery, connections, remembered ids, delivery) and the decision module alone at several sizes, fits a straight line to each, and sets it against the budgets in a table with named inputs.

--- a/crates/sailcart-lab/src/lib.rs
+++ b/crates/sailcart-lab/src/lib.rs
@@ -1,8 +1,9 @@
 //! The laboratory: what the sender is measured with. An experiment (`experiment`) is drawn out (`plan`) and played
 //! with the module in simulated time (`simulated`) or with sender processes (`sockets`); the same receivers
 //! (`receivers`) answer in both, the same watcher (`watcher`) sees whether a rule breaks, and `results` says what
-//! came of it. Nothing here is reachable from the sender.
+//! came of it. `capacity` measures what a sender costs by size. Nothing here is reachable from the sender.
 
+pub mod capacity;
 pub mod events;
 pub mod experiment;
 pub mod plan;
--- a/crates/sailcart-lab/src/main.rs
+++ b/crates/sailcart-lab/src/main.rs
@@ -9,7 +9,7 @@
 use sailcart_lab::plan::Plan;
 use sailcart_lab::policies::PolicyName;
 use sailcart_lab::results::{Outcome, compare};
-use sailcart_lab::{run, shipped, sockets};
+use sailcart_lab::{capacity, run, shipped, sockets};
 
 /// The laboratory of sailcart: emulated receivers, load, a watcher of the rules, reports.
 #[derive(Parser)]
@@ -100,6 +100,8 @@
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         words: Vec<String>,
     },
+    /// Measure what a sender costs by size, and hold it against the planned size
+    Capacity(capacity::Options),
     /// The experiments that are shipped
     List,
     /// Say in words what an experiment does
@@ -182,6 +184,10 @@
             Ok(true)
         }
         Command::Keep { parent, program, words } => Err(sockets::keep(parent, &program, &words).to_string()),
+        Command::Capacity(options) => {
+            print!("{}", capacity::run(&options).map_err(|fault| fault.0)?);
+            Ok(true)
+        }
         Command::List => {
             for (name, text) in shipped::ALL {
                 let experiment = experiment::read_text(text, &[]).map_err(|fault| fault.0)?;
