--- a/crates/sailcart-lab/src/capacity/page.rs
+++ b/crates/sailcart-lab/src/capacity/page.rs
@@ -40,6 +40,7 @@
 VmHWM, processor what the scheduler accounts to the threads (`/proc/PID/task/*/schedstat`). Configured with `limits.memory_mb` 4096,
 `disk_mb` 1024, `sockets` 16000 and 2,600 senders, so that no limit of the sender is met. Bodies of held and delivered packets have 1,024 bytes.
 Changes come at 28 a second; pauses are round trips of `PING` a millisecond after the last, p99 corrected for those that a long one held up.
+Where a sender falls behind them, several come in one answer (list-changes-together), and each costs less than one alone would.
 The hollow senders are the decision module alone, with a made-up clock.";
 
 /// The rows for people; those over their budget first.
--- a/crates/sailcart-lab/src/capacity/real/directory.rs
+++ b/crates/sailcart-lab/src/capacity/real/directory.rs
@@ -38,6 +38,14 @@
     pub began: Instant,
 }
 
+/// Answers that told changes, all together.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ToldChanges {
+    pub answers: usize,
+    /// Bytes of requests and answers.
+    pub bytes: usize,
+}
+
 /// A call for the list as it came.
 #[derive(Clone, Copy, Debug)]
 struct Asked {
@@ -145,11 +153,16 @@
         self.shared.state().told.iter().rev().find(|told| told.whole).map(|told| told.bytes)
     }
 
-    /// Bytes and number of the answers after a version that were no whole list.
-    pub fn change_bytes(&self, after: u64) -> usize {
+    /// What was told after a version by changes.
+    pub fn told_since(&self, version: u64) -> ToldChanges {
         let state = self.shared.state();
-        let changes = state.told.iter().filter(|told| !told.whole && told.version > after);
-        changes.map(|told| told.bytes).sum()
+        let since = state.told.iter().filter(|told| !told.whole && told.version > version);
+        let mut changes = ToldChanges::default();
+        for told in since {
+            changes.answers += 1;
+            changes.bytes += told.bytes;
+        }
+        changes
     }
 
     /// Waits until the sender asks for what is newer than the present version.
--- a/crates/sailcart-lab/src/capacity/real/list.rs
+++ b/crates/sailcart-lab/src/capacity/real/list.rs
@@ -20,7 +20,7 @@
 const DOWN: usize = 14;
 
 /// What depends on the list having been taken.
-const OF_A_LIST: [Quantity; 13] = [
+const OF_A_LIST: [Quantity; 14] = [
     Quantity::ListMemory,
     Quantity::ListPeakMemory,
     Quantity::ListBytes,
@@ -30,6 +30,7 @@
     Quantity::ListRest,
     Quantity::ListChangeProcessor,
     Quantity::ListChangeBytes,
+    Quantity::ListChangesTogether,
     Quantity::ListReadPauseMost,
     Quantity::ListReadPauseP99,
     Quantity::ListChangePauseMost,
@@ -86,16 +87,17 @@
         let (before, version) = (self.sender.processor()?, self.directory.version());
         let began = Instant::now();
         let Some(changes) = self.change_for(self.sizes.changes) else {
-            let both = [Quantity::ListChangeProcessor, Quantity::ListChangeBytes];
-            refuse(&both, self.destinations, gathered);
+            let all =
+                [Quantity::ListChangeProcessor, Quantity::ListChangeBytes, Quantity::ListChangesTogether];
+            refuse(&all, self.destinations, gathered);
             return Ok(());
         };
         let spent = self.sender.processor()? - before - rest * began.elapsed().as_secs_f64();
-        let bytes = self.directory.change_bytes(version) as f64;
-        let mut add =
-            |quantity, value: f64| gathered.add(quantity, self.destinations, value / changes as f64);
-        add(Quantity::ListChangeProcessor, spent.max(0.0));
-        add(Quantity::ListChangeBytes, bytes);
+        let told = self.directory.told_since(version);
+        let mut add = |quantity, value: f64| gathered.add(quantity, self.destinations, value);
+        add(Quantity::ListChangeProcessor, spent.max(0.0) / changes as f64);
+        add(Quantity::ListChangeBytes, told.bytes as f64 / changes as f64);
+        add(Quantity::ListChangesTogether, changes as f64 / told.answers.max(1) as f64);
         Ok(())
     }
 
--- a/crates/sailcart-lab/src/capacity/series.rs
+++ b/crates/sailcart-lab/src/capacity/series.rs
@@ -18,6 +18,7 @@
     ListRest,
     ListChangeProcessor,
     ListChangeBytes,
+    ListChangesTogether,
     ListReadPauseMost,
     ListReadPauseP99,
     ListChangePauseMost,
@@ -50,7 +51,7 @@
 const LISTED: &str = "listed destination";
 
 impl Quantity {
-    pub const ALL: [Quantity; 27] = [
+    pub const ALL: [Quantity; 28] = [
         Quantity::ListMemory,
         Quantity::ListPeakMemory,
         Quantity::ListBytes,
@@ -60,6 +61,7 @@
         Quantity::ListRest,
         Quantity::ListChangeProcessor,
         Quantity::ListChangeBytes,
+        Quantity::ListChangesTogether,
         Quantity::ListReadPauseMost,
         Quantity::ListReadPauseP99,
         Quantity::ListChangePauseMost,
@@ -102,6 +104,9 @@
                 naming("processor time per change of the list", Unit::Seconds, LISTED)
             }
             Quantity::ListChangeBytes => naming("bytes per change, both directions", Unit::Bytes, LISTED),
+            Quantity::ListChangesTogether => {
+                naming("changes in one answer: over 1 where the sender falls behind", Unit::Count, LISTED)
+            }
             Quantity::ListReadPauseMost => {
                 naming("longest PING while a whole list is read", Unit::Seconds, LISTED)
             }
