--- a/crates/sailcart-sender/tests/peer/late.rs
+++ b/crates/sailcart-sender/tests/peer/late.rs
@@ -5,6 +5,9 @@
 
 use socket2::{Domain, Socket, Type};
 
+/// Nobody connects any more after this time.
+const LONGEST: Duration = Duration::from_secs(8);
+
 pub struct Late {
     pub listener: TcpListener,
     pub address: SocketAddr,
@@ -13,6 +16,7 @@
 impl Late {
     pub fn new() -> Late {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_read_timeout(Some(LONGEST)).expect("a bounded wait for who connects");
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a listener");
         let listener: TcpListener = socket.into();
--- a/crates/sailcart-sender/tests/peer/mod.rs
+++ b/crates/sailcart-sender/tests/peer/mod.rs
@@ -2,6 +2,7 @@
 //! Threads and blocking sockets; the tests use them too.
 
 pub mod late;
+pub mod moments;
 pub mod world;
 
 use std::io::{BufRead, BufReader, Write};
@@ -79,6 +80,8 @@
     pub notices: Mutex<Vec<String>>,
     /// Takes no notices while this is set.
     pub deaf: AtomicBool,
+    /// Takes notices and acknowledges none while this is set.
+    pub mute: AtomicBool,
     /// Turns calls for the list away while this is set.
     pub busy: AtomicBool,
     /// Calls that it turned away.
@@ -116,6 +119,9 @@
             }
             let lines = String::from_utf8_lossy(&call.body);
             self.notices.lock().expect("no panic").extend(lines.lines().map(str::to_owned));
+            if self.mute.load(Ordering::SeqCst) {
+                hold_forever();
+            }
             return Some("HTTP/1.1 204 No Content\r\n\r\n".to_owned());
         }
         let number = self.asked.fetch_add(1, Ordering::SeqCst);
