Crossed ends: descriptors that run out in accept, and clients that go before their answer

A sender is started under a limit of 64 descriptors with limits.sockets claiming 1024, and clients use all of them: it serves those it has, tries to accept at the pace of its pause, and lets others in and calls endpoints again once there are descriptors. Its tries and its processor time are counted over a second.

A client goes, closed or reset, after its packet's record is seen in the folder and before a word: the packet has one end, and the same id on another connection hears +OK or -BUSY as the first would have, with the answer still due and once the packet is over. The same while its call is out.

--- /dev/null
+++ b/crates/sailcart-sender/tests/crossed_ends.rs
@@ -0,0 +1,205 @@
+//! What crosses an end from outside: descriptors that run out, a client that goes before its answer.
+
+use std::fs;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
+
+#[allow(dead_code)] // other tests use the rest of it
+mod peer;
+
+use peer::world::World;
+use peer::{answer, command, entry, put};
+
+const PING: &str = "*1\r\n$4\r\nPING\r\n";
+/// Longer than anything is waited for here.
+const LONGEST: Duration = Duration::from_secs(8);
+/// An answer waits for the next round, up to this long after the one before.
+const SLOW_PACE: (&str, &str) = (r#""period_ms": 5,"#, r#""period_ms": 3000,"#);
+
+fn delivers(story: &str) -> World {
+    World::new(story, |_, _| answer("200 OK", "", ""))
+}
+
+/// Starts anew with another configuration.
+fn again(world: &mut World, changes: &[(&str, &str)]) {
+    world.kill();
+    for (from, to) in changes {
+        assert!(world.config.contains(from), "{from}");
+        world.config = world.config.replace(from, to);
+    }
+    world.start();
+}
+
+/// From the next start on.
+fn usual_pace(world: &mut World) {
+    world.config = world.config.replace(SLOW_PACE.1, SLOW_PACE.0);
+}
+
+/// A packet's patience in milliseconds; the shorter one is over before the next round of a slow pace.
+const USUAL: u32 = 8000;
+const SHORT: u32 = 400;
+
+fn fields(id: &str, patience: u32) -> String {
+    format!("c=notice,t=acme,d={patience},k={id},dest=7")
+}
+
+fn connect(world: &World) -> TcpStream {
+    let stream = TcpStream::connect(world.listen).expect("a connection");
+    stream.set_read_timeout(Some(LONGEST)).expect("a time-out");
+    stream.set_nodelay(true).expect("small writes go at once");
+    stream
+}
+
+fn said(stream: &mut TcpStream) -> String {
+    let mut word = [0; 64];
+    let read = stream.read(&mut word).expect("an answer");
+    String::from_utf8_lossy(&word[..read]).into_owned()
+}
+
+/// Processor time that the sender has used, in hundredths of a second.
+fn processor_ticks(world: &World) -> u64 {
+    let pid = world.sender.as_ref().expect("a sender").id();
+    let line = fs::read_to_string(format!("/proc/{pid}/stat")).expect("a process");
+    let after_name = line.rsplit_once(") ").expect("a name in brackets").1;
+    after_name.split(' ').skip(11).take(2).map(|ticks| ticks.parse::<u64>().expect("a number")).sum()
+}
+
+/// The system's limit of descriptors is far below what the configuration claims, and clients use all of them: the sender serves whom
+/// it has, tries again at a bounded pace, and lets others in once there is room.
+#[test]
+fn a_sender_without_descriptors_neither_ends_nor_spins() {
+    const DESCRIPTORS: u32 = 64;
+    /// One every 10 ms, by the guard, and what a second more may have in it.
+    const MOST_TRIES: u128 = 105;
+    let mut world = delivers("descriptors");
+    world.kill();
+    world.launch(Some(DESCRIPTORS));
+    world.until("it listens", |world| world.log().matches(" listens on ").count() == 2);
+    let mut first = connect(&world);
+    first.write_all(PING.as_bytes()).expect("room");
+    assert_eq!(said(&mut first), "+PONG\r\n");
+    let others: Vec<TcpStream> = (0..DESCRIPTORS).map(|_| connect(&world)).collect();
+    world.until("a client that is not let in", |world| world.log().contains("code=not_accepted"));
+
+    let tries = |world: &World| world.log().matches("code=not_accepted").count();
+    let (start, ticks, before) = (Instant::now(), processor_ticks(&world), tries(&world));
+    thread::sleep(Duration::from_secs(1)); // what is measured: a second of it
+    let (ticks, more) = (processor_ticks(&world) - ticks, tries(&world) - before);
+    let most = MOST_TRIES * start.elapsed().as_millis() / 1000;
+    assert!((more as u128) <= most, "{more} tries in {:?}", start.elapsed());
+    assert!(ticks < 40, "{ticks} hundredths of a second in {:?}", start.elapsed());
+
+    // A client that it has is served; its packet waits until there is a descriptor for its call.
+    first.write_all(command("a1", &fields("a1", USUAL), "hello").as_bytes()).expect("room");
+    assert_eq!(said(&mut first), "+OK\r\n");
+    world.until("a call without a descriptor", |world| world.log().contains("no connection, code=refused"));
+    assert_eq!(world.came(), [""; 0]);
+    drop(others);
+    let mut late = connect(&world);
+    late.write_all(PING.as_bytes()).expect("room");
+    assert_eq!(said(&mut late), "+PONG\r\n");
+    world.until("its call", |world| world.came() == ["a1"]);
+    world.until_folder_shows("0 packets not over, 0 notices owed");
+    assert_eq!((world.came().len(), world.notices().len()), (1, 0));
+    world.kill();
+}
+
+/// How a client goes.
+#[derive(Clone, Copy)]
+enum Leaves {
+    /// It ends its side, and closes.
+    Closed,
+    /// Its connection is reset.
+    Reset,
+}
+
+fn leave(stream: TcpStream, how: Leaves) {
+    if let Leaves::Reset = how {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a reset at its close");
+    }
+    drop(stream);
+}
+
+/// Hands a packet in, and goes as soon as it stands in the folder and before anything is told.
+fn hand_in_and_leave(world: &World, id: &str, patience: u32, how: Leaves) {
+    let mut client = connect(world);
+    client.write_all(command(id, &fields(id, patience), "hello").as_bytes()).expect("room");
+    world.until_folder_shows(&format!("packet {id}: "));
+    client.set_nonblocking(true).expect("a socket");
+    let heard = client.read(&mut [0; 64]);
+    assert!(heard.is_err_and(|fault| fault.kind() == ErrorKind::WouldBlock), "nothing was told yet");
+    leave(client, how);
+}
+
+/// A client that goes between the record and `+OK`: its packet is delivered once, and whoever hands the same id in hears that it was
+/// taken, also while the first answer is due.
+#[test]
+fn a_client_that_goes_before_ok_leaves_a_packet_with_one_end() {
+    for (story, how) in [("gone-closed", Leaves::Closed), ("gone-reset", Leaves::Reset)] {
+        let mut world = delivers(story);
+        again(&mut world, &[SLOW_PACE]);
+        assert_eq!(world.put("a0"), "+OK"); // a round has just been
+        hand_in_and_leave(&world, "a1", USUAL, how);
+        assert_eq!(world.put("a1"), "+OK", "with the next round");
+        world.until("its call", |world| world.came() == ["a0", "a1"]);
+        assert_eq!(world.put("a1"), "+OK", "once it is over");
+        usual_pace(&mut world);
+        world.over_for_good();
+        assert_eq!(world.notices(), [""; 0]);
+    }
+}
+
+/// The same where the first would have heard that its packet is not taken on, whose time is over by the next round: it ends with that
+/// answer, of which the platform need not hear, and whoever hands the same id in hears the same, now and once it is over.
+#[test]
+fn a_client_that_goes_before_busy_leaves_the_same_answer_behind() {
+    for (story, how) in [("busy-closed", Leaves::Closed), ("busy-reset", Leaves::Reset)] {
+        let mut world = delivers(story);
+        again(&mut world, &[SLOW_PACE]);
+        assert_eq!(world.put("a0"), "+OK"); // a round has just been
+        world.until_folder_shows("0 packets not over");
+        world.platform.list(&[entry("e", world.endpoint, 7, "Terminating")]);
+        world.until("the news", |world| world.log().contains("discovery: version 2"));
+        hand_in_and_leave(&world, "a1", SHORT, how);
+        let heard = put(world.listen, "a1", &fields("a1", SHORT), "hello").expect("an answer");
+        assert!(heard.starts_with("-BUSY"), "{heard}");
+        assert_eq!(world.put("a1"), heard, "once it is over");
+        world.until_folder_shows("0 packets not over, 0 notices owed");
+        world.platform.list(&[entry("e", world.endpoint, 7, "Ready")]);
+        world.until("the news", |world| world.log().contains("discovery: version 3"));
+        usual_pace(&mut world);
+        world.over_for_good();
+        assert!(!world.came().contains(&"a1".to_owned()), "{}", world.log());
+        assert_eq!(world.notices(), [""; 0], "{}", world.log());
+    }
+}
+
+/// A client that goes while its packet's call is out changes nothing for it, and the same id hears `+OK`.
+#[test]
+fn a_client_that_goes_while_its_packet_is_called_changes_nothing() {
+    for (story, how) in [("called-closed", Leaves::Closed), ("called-reset", Leaves::Reset)] {
+        let (out, answers) = std::sync::mpsc::channel::<()>();
+        let answers = std::sync::Mutex::new(answers);
+        let mut world = World::new(story, move |number, _| {
+            if number == 0 {
+                let _ = answers.lock().expect("no panic").recv_timeout(LONGEST);
+            }
+            answer("200 OK", "", "")
+        });
+        let mut client = connect(&world);
+        client.write_all(command("a1", &fields("a1", USUAL), "hello").as_bytes()).expect("room");
+        world.until("the call", |world| world.came() == ["a1"]);
+        leave(client, how);
+        world.until("its end", |world| {
+            world.log().split("taken as").nth(1).is_some_and(|rest| rest.contains("connection ended"))
+        });
+        assert_eq!(world.put("a1"), "+OK");
+        out.send(()).expect("a call that waits");
+        world.over_for_good();
+        assert_eq!(world.notices(), [""; 0]);
+    }
+}
