An answer that comes before its call is written whole is that call's answer

Found by forcing the cell in the table of crossings: an endpoint that answers 200, 503 or 500 after 512 bytes of a call of 65,000 and closes, or reads no more. The sender wrote the whole call before it read (`endpoints::turn`), and took any failure before the last byte for a call that never began (`broken`): a packet that may not be repeated and had run was handed back as never run, so its client would hand it in again; where the endpoint stayed, its answer was not read before the packet's time was over. Change: the answer is read while the call is written; a write that fails is no end, as an answer may stand before it; a call whose answer began did begin; and a connection that is still owed the rest of a call carries no other.

--- a/crates/sailcart-sender/src/caller.rs
+++ b/crates/sailcart-sender/src/caller.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -92,7 +91,12 @@
 
 /// Reads one answer, with a body of a certain size at most, which has `rest` to come whole from its first byte on.
 /// What has come so far stands in `reply`, also when this fails or is given up.
-pub async fn read(stream: &mut TcpStream, most: usize, rest: Duration, reply: &mut Reply) -> io::Result<()> {
+pub async fn read(
+    stream: &mut (impl AsyncRead + Unpin),
+    most: usize,
+    rest: Duration,
+    reply: &mut Reply,
+) -> io::Result<()> {
     let mut incoming = Incoming::new(stream, most, None);
     loop {
         if incoming.buffer.is_empty() {
@@ -112,7 +116,7 @@
 
 /// Reads one answer within its term and hands its body, of a certain size at most, on to a sink.
 pub async fn hand_on<S: Sink>(
-    stream: &mut TcpStream,
+    stream: &mut (impl AsyncRead + Unpin),
     most: usize,
     term: Term,
     sink: &mut S,
@@ -125,8 +129,8 @@
 }
 
 /// What comes on a connection.
-struct Incoming<'a> {
-    stream: &'a mut TcpStream,
+struct Incoming<'a, Stream> {
+    stream: &'a mut Stream,
     buffer: BytesMut,
     /// Bytes of a body at most.
     most: usize,
@@ -137,8 +141,8 @@
     in_a_row: usize,
 }
 
-impl<'a> Incoming<'a> {
-    fn new(stream: &'a mut TcpStream, most: usize, term: Option<Term>) -> Self {
+impl<'a, Stream: AsyncRead + Unpin> Incoming<'a, Stream> {
+    fn new(stream: &'a mut Stream, most: usize, term: Option<Term>) -> Self {
         Incoming { stream, buffer: BytesMut::new(), most, term, came: 0, in_a_row: 0 }
     }
 
--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -107,28 +108,35 @@
         // Guards against a packet that is sent on although its answer came: the rest of it may be spoilt.
         _ if call::settled(reply.status, ids.len()) => vec![(Outcome::Done, true)],
         (Some(head), Ok(())) => call::endings(head, &reply.body, &ids),
-        (_, Err(fault)) => alike(call, broken(written, fault)),
+        (_, Err(fault)) => alike(call, broken(written || reply.status.is_some(), fault)),
         (None, Ok(())) => alike(call, Outcome::Reset),
     };
     match spoken {
-        Ok(()) if reply.keeps() => return (endings, reply.head, Some(stream)),
+        // Not where the rest of its call is still owed on it.
+        Ok(()) if written && reply.keeps() => return (endings, reply.head, Some(stream)),
         Ok(()) => ended(call.address, "answer_closes"),
         Err(fault) => ended(call.address, code(&fault)),
     }
     (endings, reply.head, None)
 }
 
-/// One call and its answer. Nothing sends it again.
+/// One call and its answer. Nothing sends it again. An answer may come before the call is written whole; nothing more of it is
+/// written then. An endpoint may also have answered before it closes over what it has not read, so a write that fails is no end.
 async fn turn(stream: &mut TcpStream, bytes: &[u8], written: &mut bool, reply: &mut Reply) -> io::Result<()> {
-    stream.write_all(bytes).await?;
-    *written = true;
-    caller::read(stream, MOST_BODY, REST, reply).await
+    let (mut reading, mut writing) = stream.split();
+    let mut answer = pin!(caller::read(&mut reading, MOST_BODY, REST, reply));
+    *written = tokio::select! {
+        biased;
+        sent = writing.write_all(bytes) => sent.is_ok(),
+        early = &mut answer => return early,
+    };
+    answer.await
 }
 
-/// How a call ended that got no answer: before its last byte was written it never began.
-fn broken(written: bool, fault: &io::Error) -> Outcome {
+/// How a call ended that got no whole answer: before its last byte was written, or an answer to it began, it never began.
+fn broken(began: bool, fault: &io::Error) -> Outcome {
     match fault.kind() {
-        _ if !written => Outcome::NoConnection,
+        _ if !began => Outcome::NoConnection,
         io::ErrorKind::TimedOut => Outcome::TimedOut,
         io::ErrorKind::Interrupted => Outcome::Cancelled,
         io::ErrorKind::InvalidData => Outcome::Error, // spoilt: it was answered, so it may have run
