Story of a list that cannot be: its slip waits for the watch that is out

The story set what the next call is answered before it changed the list, and counted on a watch being out by then: a watch that was still on its way took the slip, and the version it waits for came once. Now the platform changes its list and sets the slip while it holds the list and a watch waits. The assertions are as they were.

--- a/crates/sailcart-sender/tests/peer/mod.rs
+++ b/crates/sailcart-sender/tests/peer/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A call as it came.
 pub struct Call {
@@ -77,6 +77,8 @@
 pub struct Platform {
     list: Mutex<(u64, String)>,
     changed: Condvar,
+    /// Watches that wait for a change; counted while the list is held.
+    watching: AtomicUsize,
     pub notices: Mutex<Vec<String>>,
     /// Takes no notices while this is set.
     pub deaf: AtomicBool,
@@ -112,6 +114,23 @@
         self.changed.notify_all();
     }
 
+    /// The same, and the call after the watch that hears of it is answered with `slip`. Waits for a watch: a call that is on its way
+    /// before would take the slip.
+    pub fn list_and_slip(&self, entries: &[String], slip: String) {
+        let start = Instant::now();
+        loop {
+            let mut list = self.list.lock().expect("no panic");
+            if self.watching.load(Ordering::SeqCst) > 0 {
+                *self.slip.lock().expect("no panic") = Some(slip);
+                *list = (list.0 + 1, entries.join(","));
+                return self.changed.notify_all();
+            }
+            drop(list);
+            assert!(start.elapsed() < Duration::from_secs(20), "no watch came");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     fn reply(&self, call: &Call) -> Answer {
         if call.start.starts_with("POST /status ") {
             if self.deaf.load(Ordering::Relaxed) {
@@ -143,8 +162,10 @@
         let hold = Duration::from_millis(query("hold_ms=").unwrap_or(0));
         let list = self.list.lock().expect("no panic");
         let from = query("from=");
+        self.watching.fetch_add(1, Ordering::SeqCst);
         let waited = self.changed.wait_timeout_while(list, hold, |list| Some(list.0) == from);
         let waited = waited.expect("no panic").0;
+        self.watching.fetch_sub(1, Ordering::SeqCst);
         if number < self.deaf_before.load(Ordering::SeqCst) || self.silent.load(Ordering::SeqCst) {
             drop(waited);
             hold_forever();
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -335,8 +335,7 @@
     let slips = [r#"{"generation":0,"reset":true,"instances":[]}"#, r#"{"generation":9,"reset":true,"inst"#];
     for (nth, slip) in slips.into_iter().enumerate() {
         let version = format!("discovery: version {}, 1 entries", nth + 2);
-        *world.platform.slip.lock().expect("no panic") = Some(slip.to_owned());
-        world.platform.list(&[entry("e", world.endpoint, 7, "Ready")]); // the next call meets the slip
+        world.platform.list_and_slip(&[entry("e", world.endpoint, 7, "Ready")], slip.to_owned());
         world.until("the whole list again", |world| world.log().matches(&version).count() == 2);
         assert_eq!(world.log().matches("code=no_list").count(), nth + 1);
     }
