The list that a configuration brings is kept as written, and gone once it is in force

Cause: the last known list of a start may be as large as discovery's, and it stood in memory for the sender's whole life as a JSON value (for comparing at a reload, where it is passed over) and as entries, and twice as a value while it was checked. Change: config/known.rs splits it from the rest of the file without reading it into a value, checks it in pieces with discovery's own reader, and recovery reads it in pieces into the directory; then it is dropped. Faults name the key as before; what stood beside the reader for values is gone (its test keeps it as the model).

--- a/crates/sailcart-sender/src/config/mod.rs
+++ b/crates/sailcart-sender/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod document;
 mod faults;
+pub mod known;
 pub mod show;
 
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use sailcart_terms::{Carriage, Fault, Names, member, take_number, take_text};
 use serde_json::Value;
 
-use crate::wire::discovery::{self, List};
+use crate::config::known::KnownList;
 use crate::wire::resp::MOST_COMMAND;
 
 /// All that a sender is told at its start.
@@ -24,12 +25,12 @@
     /// The folder that lasts.
     pub state: PathBuf,
     pub seed: u64,
-    pub known: List,
+    pub known: KnownList,
     pub terms: Terms,
     pub names: Names,
     pub carriage: Carriage,
     pub bounds: Bounds,
-    /// The file as it was written.
+    /// The file as it was written, but for its list.
     pub file: Value,
 }
 
@@ -81,11 +82,11 @@
     let text =
         std::fs::read_to_string(&path).map_err(|e| format!("configuration {}: {e}", path.display()))?;
     if path.extension().is_some_and(|ending| ending == "toml") {
-        return check(&document(&path, &text)?.as_platform(), environment);
+        let (file, known) = known::take(document(&path, &text)?.as_platform())?;
+        return check(file, known, environment);
     }
-    let file: Value =
-        serde_json::from_str(&text).map_err(|e| format!("{}: expected JSON: {e}", path.display()))?;
-    check(&file, environment)
+    let (file, known) = known::split(text).map_err(|fault| within(&path.display().to_string(), fault))?;
+    check(file, known, environment)
 }
 
 /// Every fault of a `sailcart.toml`, a line each.
@@ -107,20 +108,16 @@
     Ok(show::in_force(&document(&path, &text)?, &text, environment))
 }
 
-fn check(file: &Value, environment: Environment) -> Result<Mandate, Fault> {
+fn check(file: Value, known: KnownList, environment: Environment) -> Result<Mandate, Fault> {
     let told = |variable: &str, key: &str| -> Result<String, Fault> {
         match environment(variable) {
             Some(text) => Ok(text),
-            None => take_text(member(file, key)?, key).map(str::to_owned),
+            None => take_text(member(&file, key)?, key).map(str::to_owned),
         }
     };
-    let settings = member(file, "settings")?;
+    let settings = member(&file, "settings")?;
     let (terms, names) = sailcart_terms::read(settings).map_err(|fault| within("settings", fault))?;
     let carriage = sailcart_terms::read_carriage(settings).map_err(|fault| within("settings", fault))?;
-    let known = match file.get("known") {
-        Some(known) => discovery::list(known).map_err(|fault| within("known", fault))?,
-        None => List { version: 0, whole: true, entries: Vec::new() },
-    };
     let bounds = bounds(file.get("limits"), terms.slots).map_err(|fault| within("limits", fault))?;
     Ok(Mandate {
         name: told("ROUTER_NAME", "name")?,
@@ -136,7 +133,7 @@
         names,
         carriage,
         bounds,
-        file: file.clone(),
+        file,
     })
 }
 
@@ -144,7 +141,7 @@
 /// anew goes before the environment, which is as old as the process. The rest waits for the next start.
 pub fn moved(old: &Value, new: &Mandate) -> Result<Source, Fault> {
     let file = &new.file;
-    let live = |key: &&String| !["discovery", "known", "seed"].contains(&key.as_str());
+    let live = |key: &&String| !["discovery", "seed"].contains(&key.as_str());
     for key in file.as_object().into_iter().flat_map(|file| file.keys()).filter(live) {
         if file.get(key) != old.get(key) {
             log::warn!("reload: {key} has changed, code=next_start");
@@ -236,6 +233,6 @@
         terms.hold,
         terms.categories.len(),
         terms.kinds.len(),
-        known.entries.len(),
+        known.summary().read,
     )
 }
--- a/crates/sailcart-sender/src/exchange/lists.rs
+++ b/crates/sailcart-sender/src/exchange/lists.rs
@@ -1,5 +1,7 @@
 //! The destination list: staged as it is read, and put in force in slices.
 
+use std::borrow::Borrow;
+
 use sailcart::DestinationId;
 use tokio::task::yield_now;
 
@@ -7,7 +9,7 @@
 use super::staged::{ListTooLarge, StagedList};
 use super::update::{Step, Update};
 use super::{Exchange, Within};
-use crate::wire::discovery::{Entry, List};
+use crate::wire::discovery::Entry;
 
 impl Exchange {
     /// Begins to stage a list after which at most so many endpoints may be held. One list is staged at a time: an older one that
@@ -42,20 +44,20 @@
         self.within.borrow_mut().desk.told = true;
     }
 
-    /// The destination list as last known before this life.
-    pub fn known(&self, list: &List) {
+    /// Puts a list in force at once: the one last known before this life.
+    pub fn take_over<E: Borrow<Entry>>(&self, whole: bool, entries: impl IntoIterator<Item = E>) {
         let mut staged = self.stage(usize::MAX);
-        let added = list.entries.iter().try_for_each(|entry| self.add_entry(&mut staged, entry));
+        let added = entries.into_iter().try_for_each(|entry| self.add_entry(&mut staged, entry.borrow()));
         if let Err(fault) = added {
             return log::error!("list: refused, code=too_large {fault}");
         }
-        let Some(mut update) = self.begin(staged, list.whole) else { return };
+        let Some(mut update) = self.begin(staged, whole) else { return };
         while !self.step(&mut update) {}
     }
 
-    /// News of the destination list.
-    pub fn list(&self, list: &List) {
-        self.known(list);
+    /// The same for a list that counts as told, as a sender's own does.
+    pub fn take_over_as_told<E: Borrow<Entry>>(&self, whole: bool, entries: impl IntoIterator<Item = E>) {
+        self.take_over(whole, entries);
         self.within.borrow_mut().desk.told = true;
     }
 
--- a/crates/sailcart-sender/src/life/reload.rs
+++ b/crates/sailcart-sender/src/life/reload.rs
@@ -31,8 +31,9 @@
                 log::info!("reload: discovery at {discovery}, code={}", if moved { "moved" } else { "kept" });
             }
             (Ok((new, Source::Static)), Follows::Listed(exchange)) => {
-                exchange.list(&new.known);
-                log::info!("reload: {} endpoints listed, code=listed", new.known.entries.len());
+                let list = new.known.summary();
+                exchange.take_over_as_told(list.whole, new.known.entries());
+                log::info!("reload: {} endpoints listed, code=listed", list.read);
             }
             (Ok(_), _) => log::warn!("reload: another kind of source, code=next_start"),
             (Err(fault), _) => {
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -49,7 +49,8 @@
         Source::Platform(discovery) => {
             let (moves, place) = watch::channel(discovery);
             let (heard, first) = oneshot::channel();
-            let (version, rhythm) = (known.version, Rhythm::new(asked, mandate.seed));
+            let (version, rhythm) = (known.summary().version, Rhythm::new(asked, mandate.seed));
+            drop(known); // it may be large
             let follower =
                 platform::Follower::new(place.clone(), version, rhythm, bounds.listed, exchange.clone());
             spawn_local(follower.follow(heard));
@@ -62,7 +63,8 @@
             Follows::Discovery(moves)
         }
         Source::Static => {
-            exchange.list(&known);
+            exchange.take_over_as_told(known.summary().whole, known.entries());
+            drop(known);
             spawn_local(platform::note(exchange.clone()));
             Follows::Listed(exchange.clone())
         }
--- a/crates/sailcart-sender/src/wire/discovery.rs
+++ b/crates/sailcart-sender/src/wire/discovery.rs
@@ -44,21 +44,6 @@
     Ok(List { version, whole, entries })
 }
 
-/// The list as last known, out of a configuration.
-pub fn list(value: &Value) -> Result<List, Fault> {
-    let entries = member(value, "instances")?.as_array().ok_or("expected an array in instances")?;
-    Ok(List {
-        version: whole(value, "generation")?,
-        whole: member(value, "reset")?.as_bool().ok_or("expected true or false in reset")?,
-        entries: entries.iter().filter_map(readable).collect(),
-    })
-}
-
-/// One line that cannot be read must not hide what the others tell.
-fn readable(value: &Value) -> Option<Entry> {
-    entry(value).inspect_err(|fault| log::warn!("discovery: code=entry {}: {value}", fault.0)).ok()
-}
-
 /// One entry; says what is wrong with one that cannot be read.
 pub fn entry(value: &Value) -> Result<Entry, Fault> {
     let address = take_text(member(value, "hostPort")?, "hostPort")?;
--- a/crates/sailcart-sender/src/wire/list_reader.rs
+++ b/crates/sailcart-sender/src/wire/list_reader.rs
@@ -65,6 +65,8 @@
     listed: bool,
     read: usize,
     passed_over: usize,
+    /// Lines of the log for what is passed over, at most.
+    most_lines: usize,
 }
 
 impl Default for ListReader {
@@ -81,11 +83,17 @@
             listed: false,
             read: 0,
             passed_over: 0,
+            most_lines: MOST_LINES,
         }
     }
 }
 
 impl ListReader {
+    /// One that logs nothing of what it passes over, as for a list that is read once more.
+    pub fn quiet() -> Self {
+        ListReader { most_lines: 0, ..ListReader::default() }
+    }
+
     /// Takes the next bytes; tells the entries that came whole with them.
     pub fn push(&mut self, mut piece: &[u8]) -> Result<Vec<Entry>, Fault> {
         self.text.check(piece)?;
@@ -111,7 +119,7 @@
         if !self.scanner.is_over() {
             return Err("expected JSON: it ends too early".into());
         }
-        if self.passed_over > MOST_LINES {
+        if self.most_lines > 0 && self.passed_over > self.most_lines {
             log::warn!("discovery: code=entry {} entries passed over", self.passed_over);
         }
         if !self.listed {
@@ -196,7 +204,7 @@
 
     /// An entry that cannot be read must not hide what the others tell.
     fn entry_ends(&mut self) -> Option<Entry> {
-        let first_lines = self.passed_over < MOST_LINES;
+        let first_lines = self.passed_over < self.most_lines;
         let entry = match self.end() {
             Some(bytes) => read_entry(bytes, first_lines),
             None => {
--- a/crates/sailcart-sender/tests/list_intake.rs
+++ b/crates/sailcart-sender/tests/list_intake.rs
@@ -157,15 +157,6 @@
     world.until("the call", |world| world.came().iter().any(|came| came == id));
 }
 
-/// The most memory that the sender ever had, in bytes.
-fn most_memory(world: &World) -> usize {
-    let pid = world.sender.as_ref().expect("a sender").id();
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a line");
-    let kilobytes: usize = line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).expect("kB");
-    kilobytes * 1024
-}
-
 fn count(world: &World, words: &str) -> usize {
     world.log().matches(words).count()
 }
@@ -265,7 +256,7 @@
     }
     assert_eq!(count(&world, "code=list_too_large"), 1, "one line for the outage");
     assert_eq!(count(&world, "code=no_list"), 0);
-    let memory = most_memory(&world);
+    let memory = world.memory("VmHWM");
     println!("{memory} bytes at most");
     assert!(memory < 48_000_000, "{memory} bytes");
     let start = Instant::now();
@@ -432,10 +423,10 @@
         let version = format!("discovery: version {}, 2001 entries", nth + 2);
         world.until("the list", |world| world.log().contains(&version));
         if nth == 5 {
-            early = most_memory(&world);
+            early = world.memory("VmHWM");
         }
     }
-    let late = most_memory(&world);
+    let late = world.memory("VmHWM");
     println!("{early} bytes at most after six lists, {late} after sixteen");
     // Ten lists more, of 2,001 endpoints: 192 bytes each would be 3.8 MB.
     assert!(late < early + 2_000_000, "{early} bytes after six lists, {late} after sixteen");
--- a/crates/sailcart-sender/tests/list_reader.rs
+++ b/crates/sailcart-sender/tests/list_reader.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::RngSeed;
 use sailcart_sender::wire::discovery::{self, Entry};
 use sailcart_sender::wire::list_reader::{ListReader, MOST_ENTRY, Summary};
-use sailcart_terms::Fault;
+use sailcart_terms::{Fault, member};
 use serde_json::Value;
 
 /// A list with all that is allowed: unknown members of any kind and place, indentation, escapes, entries that cannot be read.
@@ -56,9 +56,17 @@
     )
 }
 
-/// As a list was read before it came as a stream: the whole document at once.
+/// As a list was read before it came as a stream: the whole document at once, as one value.
+fn of_value(value: &Value) -> Result<discovery::List, Fault> {
+    let entries = member(value, "instances")?.as_array().ok_or("expected an array in instances")?;
+    let version = member(value, "generation")?.as_u64().ok_or("expected a whole number in generation")?;
+    let whole = member(value, "reset")?.as_bool().ok_or("expected true or false in reset")?;
+    let readable = entries.iter().filter_map(|value| discovery::entry(value).ok());
+    Ok(discovery::List { version, whole, entries: readable.collect() })
+}
+
 fn read_at_once(text: &str) -> Option<discovery::List> {
-    discovery::list(&serde_json::from_str::<Value>(text).ok()?).ok()
+    of_value(&serde_json::from_str::<Value>(text).ok()?).ok()
 }
 
 #[test]
@@ -326,7 +334,7 @@
             let shown = String::from_utf8_lossy(&bytes);
             let value = serde_json::from_slice::<Value>(&bytes);
             let told = value.as_ref().map_err(|fault| fault.to_string());
-            match (read([&bytes[..]]), told.map(discovery::list)) {
+            match (read([&bytes[..]]), told.map(of_value)) {
                 (Ok((_, streamed)), Ok(Ok(at_once))) => {
                     assert_eq!(format!("{streamed:?}"), format!("{:?}", at_once.entries), "{shown}");
                 }
--- a/crates/sailcart-sender/tests/peer/world.rs
+++ b/crates/sailcart-sender/tests/peer/world.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Bytes of the sender's memory, as the system counts them: `VmRSS` now, `VmHWM` at the most.
+    pub fn memory(&self, field: &str) -> usize {
+        let pid = self.sender.as_ref().expect("a sender").id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("its status");
+        let line = status.lines().find(|line| line.starts_with(field)).expect("a line");
+        let kilobytes: usize = line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).expect("kB");
+        kilobytes * 1024
+    }
+
     pub fn log(&self) -> String {
         fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
