--- a/crates/sailcart-lab/src/capacity/model/directory.rs
+++ b/crates/sailcart-lab/src/capacity/model/directory.rs
@@ -5,7 +5,7 @@
 use crate::capacity::series::Quantity;
 use crate::capacity::unit::Unit;
 
-const LIST: &str = "crates/sailcart-sender/src/platform.rs";
+const LIST: &str = "crates/sailcart-sender/src/platform/";
 const MODULE: &str = "src/listing.rs";
 
 pub fn rows(model: &Model) -> Vec<Row> {
--- a/crates/sailcart-lab/src/capacity/model/troubles.rs
+++ b/crates/sailcart-lab/src/capacity/model/troubles.rs
@@ -6,7 +6,7 @@
 use crate::capacity::unit::Unit;
 
 const LEDGER: &str = "crates/sailcart-sender/src/memory/ledger.rs";
-const LIST: &str = "crates/sailcart-sender/src/platform.rs";
+const LIST: &str = "crates/sailcart-sender/src/platform/";
 const DAY_S: f64 = 86_400.0;
 /// Share of the fleet that may be missing on an ordinary day.
 const MISSING_SHARE: f64 = 0.01;
--- a/crates/sailcart-sender/src/exchange/host.rs
+++ b/crates/sailcart-sender/src/exchange/host.rs
@@ -34,7 +34,7 @@
         self.closing.push((endpoint, "asked"));
     }
 
-    /// `platform.rs` keeps a watch open by itself.
+    /// `platform` keeps a watch open by itself.
     fn ask_list(&mut self) {}
 
     fn wake(&mut self, after: Duration) {
--- a/crates/sailcart-sender/src/platform.rs
+++ b/crates/sailcart-sender/src/platform/follower.rs
@@ -1,115 +1,24 @@
-//! The platform's side: discovery is watched without gaps, and notices are told until they are acknowledged.
+//! Discovery is watched without gaps, and each list that it tells is staged as it comes.
 
 use std::fmt::{self, Display};
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use sailcart::PacketId;
 use sailcart_terms::Fault;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 
-use crate::caller::{self, Reply, Sink, Term, TooLarge};
+use super::connection::{Limits, Place, Wire};
+use crate::caller::{Sink, TooLarge};
 use crate::exchange::{Exchange, ListTooLarge, StagedList};
-use crate::memory::Notice;
-use crate::rhythm::{self, Failure, Rhythm};
+use crate::rhythm::{Failure, Rhythm};
 use crate::wire::http::Head;
 use crate::wire::list_reader::{ListReader, MOST_ENTRY, Summary};
-use crate::wire::{MOST_BODY, discovery, http, notice};
+use crate::wire::{MOST_BODY, discovery, http};
 
 /// A list that comes more slowly is given up, in bytes a second.
 const LEAST_RATE: u32 = 4_000_000;
-/// How long what was not taken is kept before it is told again.
-const PAUSE: Duration = Duration::from_millis(50);
-
-/// Where the platform is: a reload may move it.
-pub type Place = watch::Receiver<SocketAddr>;
-
-/// A connection to the platform, opened when there is something to say.
-struct Wire {
-    place: Place,
-    stream: Option<TcpStream>,
-    /// How long a connection may take to come up, whatever a call on it may wait for.
-    connect: Duration,
-}
-
-impl Wire {
-    fn address(&self) -> SocketAddr {
-        *self.place.borrow()
-    }
-
-    /// One call and its answer. Guards against waiting at an address that has been left: what is out there ends
-    /// at once, as interrupted, and the next call goes to the new one.
-    async fn call<S: Sink>(&mut self, bytes: &[u8], limits: Limits, sink: &mut S) -> Result<Reply, S::Fault> {
-        let (mut place, left) = (self.place.clone(), self.address());
-        tokio::select! {
-            biased;
-            Ok(()) = place.changed() => {
-                self.leave(left);
-                Err(io::Error::from(io::ErrorKind::Interrupted).into())
-            }
-            reply = self.turn(bytes, limits, sink) => reply,
-        }
-    }
-
-    /// A pause before the next call; true, and at once, where the platform moves meanwhile.
-    async fn moves_within(&mut self, pause: Duration) -> bool {
-        let left = self.address();
-        tokio::select! {
-            () = sleep(pause) => return false,
-            Ok(()) = self.place.changed() => {}
-        }
-        self.leave(left);
-        true
-    }
-
-    fn leave(&mut self, left: SocketAddr) {
-        self.place.mark_unchanged();
-        self.stream = None;
-        log::info!("platform {left}: connection ended, code=moved");
-    }
-
-    /// One call and its answer within a time, its connection included. One on which it did not come whole is closed.
-    async fn turn<S: Sink>(&mut self, bytes: &[u8], limits: Limits, sink: &mut S) -> Result<Reply, S::Fault> {
-        let Limits { within, least_rate, most } = limits;
-        let term = Term { start: Instant::now(), within, least_rate };
-        let mut stream = timeout(within, self.say(bytes)).await.map_err(io::Error::from)??;
-        let reply = caller::hand_on(&mut stream, most, term, sink).await?;
-        if reply.keeps() {
-            self.stream = Some(stream);
-        } else {
-            log::info!("platform {}: connection ended, code=answer_closes", self.address());
-        }
-        Ok(reply)
-    }
-
-    /// The connection on which the call has gone out.
-    async fn say(&mut self, bytes: &[u8]) -> io::Result<TcpStream> {
-        let (kept, address) = (self.stream.take(), self.address());
-        let mut stream = match kept {
-            Some(stream) => stream,
-            None => timeout(self.connect, TcpStream::connect(address)).await??,
-        };
-        stream.set_nodelay(true)?;
-        stream.write_all(bytes).await?;
-        Ok(stream)
-    }
-}
-
-/// What an answer may take.
-#[derive(Clone, Copy)]
-struct Limits {
-    /// From the call's first moment on.
-    within: Duration,
-    /// As in [`Term`].
-    least_rate: Option<u32>,
-    /// Bytes of its body at most.
-    most: usize,
-}
 
 /// Why a call brought no list that counts.
 #[derive(Debug)]
@@ -188,17 +97,6 @@
     }
 }
 
-/// The body of an answer that nobody reads.
-struct Unread;
-
-impl Sink for Unread {
-    type Fault = io::Error;
-
-    fn take(&mut self, _: &Head, _: &[u8]) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Follows the destination list.
 ///
 /// A list is read as it comes, and others on this thread have their turn after each [`caller::PIECE`] of it. Nothing of it
@@ -379,76 +277,3 @@
         _ => Ok(()),
     }
 }
-
-/// Tells what notices are owed, again and again until the platform has them.
-pub async fn notify(place: Place, exchange: Rc<Exchange>) {
-    let mut wire = Wire { place, stream: None, connect: Duration::MAX };
-    let mut told = None; // as above
-    let mut lost = 0; // calls in a row without an answer
-    loop {
-        let (ids, body) = exchange.owed(lines);
-        if ids.is_empty() {
-            exchange.notices.notified().await;
-            continue;
-        }
-        let call = http::post(&wire.address().to_string(), notice::PATH, "", body.as_bytes());
-        let limits = Limits { within: rhythm::notice(lost), least_rate: None, most: MOST_BODY };
-        let reply = wire.call(&call, limits, &mut Unread).await;
-        lost = if reply.is_ok() { 0 } else { lost + 1 };
-        match reply.map(|reply| reply.head.map_or(0, |head| head.status)) {
-            Ok(204) => {
-                told = None;
-                exchange.told(&ids);
-            }
-            Ok(400) => {
-                log::error!("notices: code=unreadable {} dropped: {}", ids.len(), body.trim_end());
-                exchange.told(&ids);
-            }
-            Ok(status) => {
-                log::warn!("notices: code=answer_{status}");
-                sleep(PAUSE).await;
-            }
-            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
-            Err(fault) => {
-                if told.replace(fault.kind()) != Some(fault.kind()) {
-                    log::warn!("notices: code=not_told {fault}");
-                }
-                sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Without a platform, what would be a notice is a line of the log.
-pub async fn note(exchange: Rc<Exchange>) {
-    loop {
-        let ended = exchange
-            .owed(|owed| owed.map(|(number, id, end)| (number, id.to_owned(), end)).collect::<Vec<_>>());
-        for (_, id, end) in &ended {
-            match end {
-                Notice::Dismissed(_) => log::info!("packet {id}: ended, code=dismissed"),
-                Notice::Scrapped => log::info!("packet {id}: ended, code=scrapped"),
-            }
-        }
-        let numbers: Vec<PacketId> = ended.into_iter().map(|(number, ..)| number).collect();
-        exchange.told(&numbers);
-        exchange.notices.notified().await;
-    }
-}
-
-/// As many lines as one body holds.
-fn lines(owed: &mut dyn Iterator<Item = (PacketId, &str, Notice)>) -> (Vec<PacketId>, String) {
-    let (mut ids, mut body) = (Vec::new(), String::new());
-    for (number, id, owed) in owed {
-        let line = match owed {
-            Notice::Dismissed(wait) => notice::dismissed(id, wait),
-            Notice::Scrapped => notice::scrapped(id),
-        };
-        if body.len() + line.len() > MOST_BODY {
-            break;
-        }
-        body.push_str(&line);
-        ids.push(number);
-    }
-    (ids, body)
-}
--- a/crates/sailcart-sender/src/wire/http.rs
+++ b/crates/sailcart-sender/src/wire/http.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use nom::branch::alt;
-use nom::bytes::streaming::{tag, take, take_till, take_while_m_n, take_while1};
+use nom::bytes::streaming::{tag, take_till, take_while_m_n, take_while1};
 use nom::character::streaming::{char, crlf, satisfy};
 use nom::combinator::{not, opt, peek};
 use nom::error::{Error, ErrorKind};
-use nom::sequence::{delimited, preceded, terminated};
+use nom::sequence::{preceded, terminated};
 use nom::{IResult, Parser};
 
-use super::{Reading, reading, too_large};
+use super::{Reading, reading};
 
 /// A head's bytes at most.
 pub const MOST_HEAD: usize = 16 * 1024;
@@ -131,28 +131,3 @@
         head.report = Some(value.to_owned());
     }
 }
-
-/// One chunk of a body; an empty one is the last.
-pub fn chunk(input: &[u8], most: usize) -> Reading<&[u8]> {
-    reading(input, one_chunk(input, most), "expected a chunk")
-}
-
-fn one_chunk(input: &[u8], most: usize) -> IResult<&[u8], &[u8]> {
-    let digits = take_while_m_n(1, 7, |b: u8| b.is_ascii_hexdigit());
-    let (mut rest, (digits, _)): (_, (&[u8], _)) = (digits, terminated(text, crlf)).parse(input)?;
-    let hex = |b: &u8| char::from(*b).to_digit(16).unwrap_or_default() as usize;
-    let size = digits.iter().fold(0, |sum, digit| sum * 16 + hex(digit));
-    if size > most {
-        return too_large(input);
-    }
-    if size > 0 {
-        return terminated(take(size), crlf).parse(rest);
-    }
-    loop {
-        let (after, line) = delimited(tag(""), text, crlf).parse(rest)?;
-        rest = after;
-        if line.is_empty() {
-            return Ok((rest, line));
-        }
-    }
-}
--- a/crates/sailcart-sender/tests/wire.rs
+++ b/crates/sailcart-sender/tests/wire.rs
@@ -5,7 +5,7 @@
 use sailcart::Outcome;
 use sailcart_sender::wire::call::{self, Parcel};
 use sailcart_sender::wire::resp::{self, Command};
-use sailcart_sender::wire::{discovery, http, notice};
+use sailcart_sender::wire::{chunked, discovery, http, notice};
 use sailcart_terms::Reports;
 
 const PUT: &[u8] = b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$2\r\nab\r\n$30\r\nc=n,t=a,d=8000,k=5c,dest=7,r=1\r\n\
@@ -147,10 +147,12 @@
     }
     let (head, used) = http::head(whole).expect("a good head").expect("a whole head");
     assert_eq!((head.extent, head.close, used), (http::Extent::Chunks, true, whole.len()));
-    assert_eq!(http::chunk(b"5;x=y\r\nhello\r\n0\r\n", 64), Ok(Some((&b"hello"[..], 14))));
-    assert_eq!(http::chunk(b"5\r\nhel", 64), Ok(None));
-    assert_eq!(http::chunk(b"0\r\nTrailer: x\r\n\r\n", 64), Ok(Some((&b""[..], 17))));
-    assert_eq!(http::chunk(b"ff\r\n", 64), Err("too large"));
+    assert_eq!(chunked::size(b"5;x=y\r\nhello\r\n0\r\n"), Ok(Some((5, 7))));
+    assert_eq!(chunked::end(b"\r\n0\r\n"), Ok(Some(((), 2))));
+    assert_eq!(chunked::size(b"5\r"), Ok(None));
+    assert_eq!(chunked::size(b"0\r\nTrailer: x\r\n\r\n"), Ok(Some((0, 3))));
+    assert_eq!(chunked::trailer(b"Trailer: x\r\n\r\n"), Ok(Some((false, 12))));
+    assert_eq!(chunked::trailer(b"\r\n"), Ok(Some((true, 2))));
     assert!(http::head(b"SSH-2.0-OpenSSH\r\n").is_err());
 }
 
@@ -191,7 +193,9 @@
             input[at] = byte;
             used(resp::command(&input).ok().flatten().map(|(_, used)| used), &input);
             used(http::head(&input).ok().flatten().map(|(_, used)| used), &input);
-            used(http::chunk(&input, 64).ok().flatten().map(|(_, used)| used), &input);
+            used(chunked::size(&input).ok().flatten().map(|(_, used)| used), &input);
+            used(chunked::end(&input).ok().flatten().map(|(_, used)| used), &input);
+            used(chunked::trailer(&input).ok().flatten().map(|(_, used)| used), &input);
             let _ = discovery::read(&input);
         }
     }
