--- a/crates/sailcart-lab/src/capacity/model/troubles.rs
+++ b/crates/sailcart-lab/src/capacity/model/troubles.rs
@@ -6,7 +6,7 @@
 use crate::capacity::unit::Unit;
 
 const LEDGER: &str = "crates/sailcart-sender/src/memory/ledger.rs";
-const LIST: &str = "crates/sailcart-sender/src/platform.rs";
+const LIST: &str = "crates/sailcart-sender/src/platform/";
 const DAY_S: f64 = 86_400.0;
 /// Share of the fleet that may be missing on an ordinary day.
 const MISSING_SHARE: f64 = 0.01;
@@ -46,7 +46,7 @@
             .row(
                 model.at(Quantity::DeliveryProcessor, inputs.sender_rate() * more),
                 inputs.sender_core_share,
-                Mechanism::exists("crates/sailcart-sender/src/exchange.rs"),
+                Mechanism::exists("crates/sailcart-sender/src/exchange/"),
                 "delivery-processor at events_per_s / senders x zones / (zones - 1); sender_core_share",
             ),
         about(Role::Sender, Resource::Memory, "the backlog anew at the rest", Unit::Bytes).row(
