One way to restart a story's sender and to start a measured one

Read again: restarting with another configuration stood in two test files, and starting a sender that delivers in two measurements. Each stands once now. No assertion changes, and nothing of the sender.

--- a/crates/sailcart-lab/src/capacity/real/packets.rs
+++ b/crates/sailcart-lab/src/capacity/real/packets.rs
@@ -38,6 +38,26 @@
     Ok(())
 }
 
+/// A sender whose destinations share one endpoint, and a client of it.
+struct Delivering {
+    endpoint: Endpoint,
+    /// Stands as long as the sender follows it.
+    _directory: Directory,
+    sender: SenderProcess,
+    client: Client,
+}
+
+impl Delivering {
+    fn start(program: &Path) -> Result<Self, Fault> {
+        let endpoint = Endpoint::open().map_err(fault("endpoint"))?;
+        let places = Places::At(endpoint.address);
+        let directory = Directory::open(DESTINATIONS, places).map_err(fault("discovery"))?;
+        let sender = SenderProcess::start(program, directory.address)?;
+        let client = Client::connect(sender.listen).map_err(fault("client"))?;
+        Ok(Delivering { endpoint, _directory: directory, sender, client })
+    }
+}
+
 /// Packets held for destinations without a live endpoint, then a kill and a new start.
 pub fn held(program: &Path, sizes: &Sizes, gathered: &mut Gathered) -> Result<(), Fault> {
     let directory = Directory::open(DESTINATIONS, Places::Draining).map_err(fault("discovery"))?;
@@ -57,11 +77,7 @@
 
 /// Processor at several rates of delivered packets.
 pub fn delivered(program: &Path, sizes: &Sizes, gathered: &mut Gathered) -> Result<(), Fault> {
-    let endpoint = Endpoint::open().map_err(fault("endpoint"))?;
-    let directory =
-        Directory::open(DESTINATIONS, Places::At(endpoint.address)).map_err(fault("discovery"))?;
-    let sender = SenderProcess::start(program, directory.address)?;
-    let mut client = Client::connect(sender.listen).map_err(fault("client"))?;
+    let Delivering { endpoint, _directory, sender, mut client } = Delivering::start(program)?;
     let mut taken = 0;
     for rate in sizes.rates.iter().copied() {
         let (before, began) = (sender.processor()?, Instant::now());
@@ -82,11 +98,7 @@
 
 /// Packets that are over, and whose ids are remembered.
 pub fn ended(program: &Path, sizes: &Sizes, gathered: &mut Gathered) -> Result<(), Fault> {
-    let endpoint = Endpoint::open().map_err(fault("endpoint"))?;
-    let directory =
-        Directory::open(DESTINATIONS, Places::At(endpoint.address)).map_err(fault("discovery"))?;
-    let sender = SenderProcess::start(program, directory.address)?;
-    let mut client = Client::connect(sender.listen).map_err(fault("client"))?;
+    let Delivering { endpoint, _directory, sender, mut client } = Delivering::start(program)?;
     let mut taken = 0;
     for size in sizes.ended.iter().copied() {
         client.put_all(&puts(taken..size, 16)).map_err(fault("ended packets"))?;
--- a/crates/sailcart-sender/tests/crossed_ends.rs
+++ b/crates/sailcart-sender/tests/crossed_ends.rs
@@ -24,16 +24,6 @@
     World::new(story, |_, _| answer("200 OK", "", ""))
 }
 
-/// Starts anew with another configuration.
-fn again(world: &mut World, changes: &[(&str, &str)]) {
-    world.kill();
-    for (from, to) in changes {
-        assert!(world.config.contains(from), "{from}");
-        world.config = world.config.replace(from, to);
-    }
-    world.start();
-}
-
 /// From the next start on.
 fn usual_pace(world: &mut World) {
     world.config = world.config.replace(SLOW_PACE.1, SLOW_PACE.0);
@@ -141,7 +131,7 @@
 fn a_client_that_goes_before_ok_leaves_a_packet_with_one_end() {
     for (story, how) in [("gone-closed", Leaves::Closed), ("gone-reset", Leaves::Reset)] {
         let mut world = delivers(story);
-        again(&mut world, &[SLOW_PACE]);
+        world.restart_with(&[SLOW_PACE]);
         assert_eq!(world.put("a0"), "+OK"); // a round has just been
         hand_in_and_leave(&world, "a1", USUAL, how);
         assert_eq!(world.put("a1"), "+OK", "with the next round");
@@ -159,7 +149,7 @@
 fn a_client_that_goes_before_busy_leaves_the_same_answer_behind() {
     for (story, how) in [("busy-closed", Leaves::Closed), ("busy-reset", Leaves::Reset)] {
         let mut world = delivers(story);
-        again(&mut world, &[SLOW_PACE]);
+        world.restart_with(&[SLOW_PACE]);
         assert_eq!(world.put("a0"), "+OK"); // a round has just been
         world.until_folder_shows("0 packets not over");
         world.platform.list(&[entry("e", world.endpoint, 7, "Terminating")]);
--- a/crates/sailcart-sender/tests/early_answers.rs
+++ b/crates/sailcart-sender/tests/early_answers.rs
@@ -17,16 +17,6 @@
 const LONGEST: Duration = Duration::from_secs(8);
 const FRAGILE: (&str, &str) = (r#""repeat": "dedup""#, r#""repeat": "fragile""#);
 
-/// Starts anew with another configuration.
-fn again(world: &mut World, changes: &[(&str, &str)]) {
-    world.kill();
-    for (from, to) in changes {
-        assert!(world.config.contains(from), "{from}");
-        world.config = world.config.replace(from, to);
-    }
-    world.start();
-}
-
 /// What an endpoint does with a call of which it has not read all.
 #[derive(Clone, Copy, PartialEq)]
 enum Then {
@@ -112,7 +102,7 @@
     changes: &[(&str, &str)],
 ) -> (World, Vec<usize>) {
     let mut world = World::new(story, |_, _| None);
-    again(&mut world, changes);
+    world.restart_with(changes);
     let endpoint = Early::new(first, then, connections);
     world.platform.list(&[entry("f", endpoint.address, 7, "Ready")]);
     world.until("the news", |world| world.log().contains("discovery: version 2"));
--- a/crates/sailcart-sender/tests/peer/world.rs
+++ b/crates/sailcart-sender/tests/peer/world.rs
@@ -122,6 +122,16 @@
         sender.kill().and_then(|()| sender.wait()).expect("the sender ends");
     }
 
+    /// Kills the sender and starts it anew with each `(from, to)` of its configuration replaced.
+    pub fn restart_with(&mut self, changes: &[(&str, &str)]) {
+        self.kill();
+        for (from, to) in changes {
+            assert!(self.config.contains(from), "{from}");
+            self.config = self.config.replace(from, to);
+        }
+        self.start();
+    }
+
     /// Until the process has ended by itself.
     pub fn ended(&mut self) {
         assert!(self.sender.take().expect("a sender").wait().expect("an end").success());
