Red: a folder refused for ever, an end told unrecorded, a start refused

A control page and a library for LD_PRELOAD let writes, cuts, syncs and names of files fail in a running sender, and the store's faulty folder fails several calls in a row with half of an append down.

--- a/crates/sailcart-sender/tests/peer/world.rs
+++ b/crates/sailcart-sender/tests/peer/world.rs
@@ -9,6 +9,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use sailcart_shim::Page;
+
 use super::{Answer, Call, Platform, entry, listen, put, say};
 
 pub const CONFIG: &str = include_str!("../../../../examples/config.json");
@@ -26,6 +28,8 @@
     pub endpoint: SocketAddr,
     /// Ids of the packets that came, in order.
     pub came: Arc<Mutex<Vec<String>>>,
+    /// Where set, the sender's next lives run under this page of faults.
+    pub page: Option<Arc<Page>>,
 }
 
 impl World {
@@ -56,7 +60,8 @@
             .replace(r#""name": "n1","#, r#""name": "n1", "seed": "5eed","#)
             .replace("127.0.0.1:8500", &discovery.to_string())
             .replace("examples/state", state);
-        let mut world = World { folder, config, listen, sender: None, discovery, platform, endpoint, came };
+        let mut world =
+            World { folder, config, listen, sender: None, discovery, platform, endpoint, came, page: None };
         world.start();
         // A story that changes the list or discovery begins with a sender that knows the first list.
         world.until("the first list", |world| world.log().contains("discovery: version 1, 1 entries"));
@@ -69,10 +74,20 @@
         let log = fs::OpenOptions::new().append(true).create(true).open(self.folder.join("log"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_sailcart"));
         command.arg("serve").arg("--config").arg(file).env("RUST_LOG", "debug").stderr(log.expect("a log"));
+        if let Some(page) = &self.page {
+            command.envs(page.environment(sailcart_shim::library().expect("the shim")));
+        }
         self.sender = Some(command.spawn().expect("the sender starts"));
         self.until("the sender is ready", |world| say(world.listen, "*1\r\n$4\r\nPING\r\n").is_ok());
     }
 
+    /// The sender's next lives run under a page of faults; none are set yet.
+    pub fn with_faults(&mut self) -> Arc<Page> {
+        let page = Arc::new(Page::new(&self.folder.join("shim-page")).expect("a page"));
+        self.page = Some(page.clone());
+        page
+    }
+
     pub fn until(&self, what: &str, check: impl Fn(&World) -> bool) {
         let start = Instant::now();
         while !check(self) {
--- a/crates/sailcart-store/tests/common/mod.rs
+++ b/crates/sailcart-store/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
 
@@ -16,6 +16,8 @@
     bytes: Vec<u8>,
     /// What outlives the power.
     synced: Vec<u8>,
+    /// From here on its bytes never reach the disk: a sync failed and took them for written.
+    lost_from: Option<usize>,
 }
 
 #[derive(Default)]
@@ -28,8 +30,10 @@
     /// The process dies within this call; an append gets so much of its bytes down.
     dies_at: Option<(u64, f64)>,
     dead: bool,
-    /// This one call fails.
-    fails_at: Option<u64>,
+    /// These calls fail.
+    fails_at: BTreeSet<u64>,
+    /// Of an append that fails, the share of its bytes that goes down all the same.
+    fails_after: f64,
     /// Bytes over all files that the device has.
     capacity: Option<usize>,
 }
@@ -47,7 +51,24 @@
     }
 
     pub fn fails_at(&self, call: u64) {
-        self.0.borrow_mut().fails_at = Some(call);
+        self.fail([call], 0.0);
+    }
+
+    /// These calls fail; of an append, a share of its bytes goes down first.
+    pub fn fail(&self, calls: impl IntoIterator<Item = u64>, after: f64) {
+        let mut state = self.0.borrow_mut();
+        state.fails_at.extend(calls);
+        state.fails_after = after;
+    }
+
+    /// No call fails any more.
+    pub fn mend(&self) {
+        self.0.borrow_mut().fails_at.clear();
+    }
+
+    /// The process has died.
+    pub fn is_dead(&self) -> bool {
+        self.0.borrow().dead
     }
 
     pub fn capacity(&self, bytes: Option<usize>) {
@@ -63,7 +84,8 @@
     pub fn again(&self) {
         let mut state = self.0.borrow_mut();
         (state.locked, state.dead, state.calls) = (false, false, 0);
-        (state.dies_at, state.fails_at) = (None, None);
+        state.dies_at = None;
+        state.fails_at.clear();
     }
 
     /// The power was lost: what was not synced is kept, lost, cut or changed, by chance.
@@ -93,6 +115,7 @@
                 inode.bytes = inode.synced.clone(); // a cut that was not synced
             }
             inode.synced = inode.bytes.clone();
+            inode.lost_from = None;
         }
         state.synced_names = state.names.clone();
     }
@@ -104,7 +127,7 @@
 
     pub fn set(&self, name: &str, bytes: &[u8]) {
         let state = &mut *self.0.borrow_mut();
-        state.inodes.push(Inode { bytes: bytes.to_vec(), synced: bytes.to_vec() });
+        state.inodes.push(Inode { bytes: bytes.to_vec(), synced: bytes.to_vec(), lost_from: None });
         state.names.insert(name.to_owned(), state.inodes.len() - 1);
     }
 
@@ -131,7 +154,7 @@
         if self.dead {
             return Err(ErrorKind::BrokenPipe.into());
         }
-        if self.fails_at.take_if(|at| *at == self.calls).is_some() {
+        if self.fails_at.remove(&self.calls) {
             return Err(io::Error::other("the device failed"));
         }
         if let Some((_, part)) = self.dies_at.filter(|(at, _)| *at == self.calls) {
@@ -141,6 +164,14 @@
         Ok(None)
     }
 
+    /// One more call that writes nothing: none of these fails, though the process may die in it.
+    fn read(&mut self) -> io::Result<()> {
+        let fails_at = std::mem::take(&mut self.fails_at);
+        let read = self.call().map(drop);
+        self.fails_at = fails_at;
+        read
+    }
+
     /// A call that is done as a whole or not at all: not, if the process dies before the middle of it.
     fn whole(&mut self) -> io::Result<bool> {
         Ok(self.call()?.is_none_or(|part| part >= 0.5))
@@ -169,7 +200,7 @@
 
     fn list(&mut self) -> io::Result<Vec<(String, u64)>> {
         let mut state = self.0.borrow_mut();
-        state.whole()?;
+        state.read()?;
         let all =
             state.names.iter().map(|(name, inode)| (name.clone(), state.inodes[*inode].bytes.len() as u64));
         let all = all.collect();
@@ -192,7 +223,7 @@
 
     fn open(&mut self, name: &str) -> io::Result<usize> {
         let mut state = self.0.borrow_mut();
-        state.whole()?;
+        state.read()?;
         let inode = state.find(name)?;
         state.after(inode)
     }
@@ -208,7 +239,16 @@
 
     fn append(&mut self, file: &mut usize, bytes: &[u8]) -> io::Result<usize> {
         let mut state = self.0.borrow_mut();
-        let part = state.call()?.unwrap_or(1.0);
+        let part = match state.call() {
+            Ok(part) => part.unwrap_or(1.0),
+            Err(fault) => {
+                let down = (bytes.len() as f64 * state.fails_after) as usize;
+                if !state.dead {
+                    state.inodes[*file].bytes.extend_from_slice(&bytes[..down]);
+                }
+                return Err(fault);
+            }
+        };
         let left = state.capacity.map_or(usize::MAX, |capacity| capacity.saturating_sub(state.used()));
         if left == 0 && !bytes.is_empty() {
             return Err(ErrorKind::StorageFull.into());
@@ -228,9 +268,19 @@
 
     fn sync(&mut self, file: &usize) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
-        if state.whole()? {
-            let inode = &mut state.inodes[*file];
-            inode.synced = inode.bytes.clone();
+        match state.whole() {
+            Ok(false) => {}
+            Ok(true) => {
+                let inode = &mut state.inodes[*file];
+                let most = inode.lost_from.unwrap_or(usize::MAX).min(inode.bytes.len());
+                inode.synced = inode.bytes[..most].to_vec();
+            }
+            Err(fault) => {
+                // Its bytes are taken for written; no later sync brings them down.
+                let inode = &mut state.inodes[*file];
+                inode.lost_from.get_or_insert(inode.synced.len());
+                return Err(fault);
+            }
         }
         state.after(())
     }
