Store: faults in a row never leave a folder that is refused, and a failed sync is mended

Cause: append rolled to a new segment before it cut the half frame of a failed write (segmented_log.rs, append and append_bytes), so that the frame stayed at the end of a segment that was no longer the last. The same shape: a new segment whose head or whose folder sync failed stayed beside a log that went on in the one before it; a failed sync ended in a store that refused all writes, and `sync` had cleared `unsynced` before it failed. Recovery wrote (lock, cut, head, removal) before it read.

Change: what a failure leaves behind is kept as state (torn, stray, left over) and goes before anything else is written; recovery only reads, and mends with the first write that succeeds; after a failed sync all that counts in the suspect segments is carried into a new one, which is synced, before anything is answered for. `Fault::Unsure` now says that a change may count.

--- a/crates/sailcart-store/src/compaction.rs
+++ b/crates/sailcart-store/src/compaction.rs
@@ -64,9 +64,21 @@
         Ok(())
     }
 
+    /// After a failed sync: what counts in the suspect segments is written anew, from the oldest on, and they go. Until then nothing
+    /// is answered for.
+    pub fn replace_suspect<F: Files>(&mut self, log: &mut SegmentedLog<F>) -> Result<(), Fault> {
+        let Some(suspect) = log.suspect() else { return Ok(()) };
+        log.leave_suspect()?;
+        while log.oldest().is_some_and(|oldest| oldest.segment <= suspect) {
+            self.step(log, log.room.segment())?;
+        }
+        log.sync()?;
+        log.trust();
+        Ok(())
+    }
+
     /// Cleans for about so many bytes read. Tells whether a segment went.
     pub fn step<F: Files>(&mut self, log: &mut SegmentedLog<F>, bytes: u64) -> Result<bool, Fault> {
-        log.check_sure()?;
         let Some(oldest) = log.oldest() else { return Ok(false) };
         if log.segments.len() == 1 {
             if oldest.length == HEAD as u64 {
@@ -128,12 +140,10 @@
             log.sync()?;
         }
         manifest::write(&mut log.files, oldest + 1, durable)?;
-        log.segments.remove(&oldest);
+        log.retire(oldest);
         self.segments_retired += 1;
-        let name = segment::name(oldest);
-        // One that stays is left over, and goes at the next start.
-        if let Err(fault) = log.files.remove(&name) {
-            log::warn!(target: LOG_TARGET, "store: code=not_removed {name} {fault}");
+        if log.left_over.contains(&oldest) {
+            log::warn!(target: LOG_TARGET, "store: code=not_removed {}", segment::name(oldest));
         }
         Ok(())
     }
--- a/crates/sailcart-store/src/disk.rs
+++ b/crates/sailcart-store/src/disk.rs
@@ -27,7 +27,12 @@
     type File = File;
 
     fn lock(&mut self) -> io::Result<()> {
-        let lock = File::create(self.folder.join(LOCK))?;
+        let path = self.folder.join(LOCK);
+        // One that is there is opened as it is, which a full disk allows.
+        let lock = match OpenOptions::new().write(true).open(&path) {
+            Err(fault) if fault.kind() == io::ErrorKind::NotFound => File::create(&path)?,
+            other => other?,
+        };
         match lock.try_lock() {
             Err(TryLockError::WouldBlock) => Err(io::ErrorKind::WouldBlock.into()),
             // A file system that knows no locks must do without.
--- a/crates/sailcart-store/src/fault.rs
+++ b/crates/sailcart-store/src/fault.rs
@@ -25,9 +25,9 @@
     /// The change is larger than any that fits.
     #[error("a change of {wanted} bytes; {most} are the most that this room allows")]
     TooLarge { wanted: u64, most: u64 },
-    /// What was written may not have reached the disk. Only a new start can tell what stands.
-    #[error("a sync failed earlier; the folder must be opened anew")]
-    Unsure,
+    /// A sync failed: what was written since the last one may count, and may not outlive the power until it is written anew.
+    #[error("syncing {file}: {source}; what was written since the last sync is written anew")]
+    Unsure { file: String, source: io::Error },
     /// The operating system failed; `doing` says at what.
     #[error("{doing} {file}: {source}")]
     Io { doing: &'static str, file: String, source: io::Error },
@@ -48,6 +48,14 @@
         }
     }
 
+    /// A failed sync of what went before: of the change that was asked for now nothing is written.
+    pub(crate) fn unwritten(self) -> Fault {
+        match self {
+            Fault::Unsure { file, source } => Fault::Io { doing: "syncing", file, source },
+            other => other,
+        }
+    }
+
     /// A short word for logs.
     pub fn code(&self) -> &'static str {
         match self {
@@ -56,7 +64,7 @@
             Fault::Newer { .. } => "newer_version",
             Fault::InUse => "in_use",
             Fault::TooLarge { .. } => "too_large",
-            Fault::Unsure => "unsure",
+            Fault::Unsure { .. } => "not_synced",
             _ if self.is_full() => "disk_full",
             _ => "disk_fault",
         }
@@ -69,7 +77,7 @@
             _ if fault.is_full() => io::ErrorKind::StorageFull,
             Fault::InUse => io::ErrorKind::WouldBlock,
             Fault::Damaged { .. } | Fault::Missing { .. } | Fault::Newer { .. } => io::ErrorKind::InvalidData,
-            Fault::Io { source, .. } => source.kind(),
+            Fault::Io { source, .. } | Fault::Unsure { source, .. } => source.kind(),
             _ => io::ErrorKind::Other,
         };
         io::Error::new(kind, fault)
--- a/crates/sailcart-store/src/recovery.rs
+++ b/crates/sailcart-store/src/recovery.rs
@@ -1,10 +1,8 @@
 //! Start: the log is read, and either stands as a whole or is refused. Only what a crash explains is mended: a torn
 //! end of the last segment, a segment or a manifest that was being made, files that the manifest has left behind.
 
-use std::io::ErrorKind;
-
 use crate::fault::Fault;
-use crate::files::{Files, append_all, read_most};
+use crate::files::{Files, read_most};
 use crate::frame::{self, Found};
 use crate::index::Place;
 use crate::manifest;
@@ -33,13 +31,26 @@
     pub standing: Standing,
 }
 
-/// Locks a folder, reads its log, and mends what a crash explains.
-pub(crate) fn open<F: Files>(mut files: F, room: Room) -> Result<Recovered<F>, Fault> {
-    files.lock().map_err(|fault| match fault.kind() {
-        ErrorKind::WouldBlock => Fault::InUse,
-        _ => Fault::io("locking", "lock")(fault),
-    })?;
-    Recovery::new(files, room, true).read()
+/// Locks a folder, reads its log, and mends what a crash explains. Where nothing can be written just now, what stands is read all the
+/// same, and mended by the first write that succeeds.
+pub(crate) fn open<F: Files>(files: F, room: Room) -> Result<Recovered<F>, Fault> {
+    let mut recovery = Recovery::new(files, room, true);
+    let locked = recovery.log.lock();
+    let there = recovery.log.files.list().map_err(Fault::io("listing", "the folder"))?;
+    match locked {
+        // Only a folder that no process has begun on has no lock.
+        Err(fault @ Fault::Io { .. }) if segment::listed(&there).is_empty() => put_off(&fault),
+        other => other?,
+    }
+    let mut recovered = recovery.read()?;
+    if let Err(fault) = recovered.log.tidy() {
+        put_off(&fault);
+    }
+    Ok(recovered)
+}
+
+fn put_off(fault: &Fault) {
+    log::warn!("store: code=mended_later {fault}; nothing can be written yet");
 }
 
 /// Reads a folder without changing it: what stands in it, or the first fault.
@@ -98,19 +109,7 @@
         if !begun || !self.mend {
             return Err(Fault::Missing { file: manifest::NAME.to_owned() });
         }
-        let name = segment::name(1);
-        let files = &mut self.log.files;
-        if !listed.is_empty() {
-            files.remove(&name).map_err(Fault::io("removing", &name))?;
-        }
-        let mut file = files.create(&name).map_err(Fault::io("creating", &name))?;
-        append_all(files, &mut file, &segment::head(1, 0)).map_err(Fault::io("writing", &name))?;
-        let durable = self.log.room.is_durable();
-        if durable {
-            files.sync(&file).map_err(Fault::io("syncing", &name))?;
-        }
-        manifest::write(files, 1, durable)?;
-        self.log.segments.insert(1, Segment { file, length: HEAD as u64 });
+        self.log.stray = listed.first().map(|file| file.number);
         Ok(())
     }
 
@@ -119,7 +118,8 @@
         let (left_over, kept): (Vec<Listed>, Vec<Listed>) =
             listed.iter().partition(|file| file.number < first);
         if self.mend {
-            self.remove(&left_over)?;
+            self.log.left_over.extend(left_over.iter().map(|file| file.number));
+            self.log.remove_left_over();
         }
         check_complete(first, &kept)?;
         let mut before = None;
@@ -130,14 +130,6 @@
         Ok(())
     }
 
-    fn remove(&mut self, left_over: &[Listed]) -> Result<(), Fault> {
-        for file in left_over {
-            let name = segment::name(file.number);
-            self.log.files.remove(&name).map_err(Fault::io("removing", &name))?;
-        }
-        Ok(())
-    }
-
     /// Reads one segment into the index. Tells its length, for the next one's head to agree with.
     fn read_segment(&mut self, listed: Listed, neighbours: Neighbours) -> Result<Option<u64>, Fault> {
         let number = listed.number;
@@ -147,7 +139,10 @@
         let read = read_most(&mut self.log.files, &file, 0, &mut head);
         let head = &head[..read.map_err(Fault::io("reading", &name))?];
         if self.is_torn_head(head, number, neighbours) {
-            return self.mend_head(file, listed, neighbours);
+            // It counts for nothing yet: it goes before the segment before it is written to.
+            self.standing.cut += listed.length;
+            self.log.stray = Some(number);
+            return Ok(neighbours.before);
         }
         let told = segment::read_head(head, number)?;
         if neighbours.before.is_some_and(|before| before != told) {
@@ -165,33 +160,8 @@
         neighbours.last && neighbours.before.is_some() && (short || unreadable)
     }
 
-    /// Writes a torn head anew. Tells the length of the last segment that then stands.
-    fn mend_head(
-        &mut self,
-        mut file: F::File,
-        listed: Listed,
-        neighbours: Neighbours,
-    ) -> Result<Option<u64>, Fault> {
-        self.standing.cut += listed.length;
-        if !self.mend {
-            return Ok(neighbours.before);
-        }
-        let name = segment::name(listed.number);
-        let files = &mut self.log.files;
-        files.truncate(&mut file, 0).map_err(Fault::io("cutting", &name))?;
-        let whole = segment::head(listed.number, neighbours.before.unwrap_or(0));
-        append_all(files, &mut file, &whole).map_err(Fault::io("writing", &name))?;
-        self.log.segments.insert(listed.number, Segment { file, length: HEAD as u64 });
-        Ok(Some(HEAD as u64))
-    }
-
     /// Reads a segment's records into the index, up to its end or a torn one. Tells where that is.
-    fn read_records(
-        &mut self,
-        mut file: F::File,
-        listed: Listed,
-        neighbours: Neighbours,
-    ) -> Result<u64, Fault> {
+    fn read_records(&mut self, file: F::File, listed: Listed, neighbours: Neighbours) -> Result<u64, Fault> {
         let name = segment::name(listed.number);
         let mut walk = Walk::new(HEAD as u64, listed.length);
         loop {
@@ -201,10 +171,7 @@
                 Step::Stuck(found) => {
                     self.check_torn_end(&file, listed, walk.offset, &found, neighbours.last)?;
                     self.standing.cut += listed.length - walk.offset;
-                    if self.mend {
-                        let cut = self.log.files.truncate(&mut file, walk.offset);
-                        cut.map_err(Fault::io("cutting", &name))?;
-                    }
+                    self.log.torn = true;
                     break;
                 }
             }
--- a/crates/sailcart-store/src/store.rs
+++ b/crates/sailcart-store/src/store.rs
@@ -85,11 +85,13 @@
     ///
     /// # Errors
     /// [`Fault::Full`] and [`Fault::TooLarge`] with nothing changed; [`Fault::Io`] as the disk fails, after which
-    /// nothing of these changes counts and the next write may do; [`Fault::Unsure`] after a failed sync.
+    /// nothing of these changes counts and the next write may do; [`Fault::Unsure`] as a sync fails, after which these changes
+    /// may count or not, and are synced with the next write or sync that succeeds if they do.
     pub fn write(&mut self, changes: &[Change]) -> Result<(), Fault> {
-        self.log.check_sure()?;
         self.check_sizes(changes)?;
         self.admit(changes)?;
+        self.log.tidy()?;
+        self.compaction.replace_suspect(&mut self.log).map_err(Fault::unwritten)?;
         let size = frame::size(changes) as u64;
         self.compaction.make_room(&mut self.log, size)?;
         let place = self.log.append(changes)?;
@@ -146,8 +148,10 @@
     /// What was written until now outlives the power.
     ///
     /// # Errors
-    /// After a failed sync nothing more can be written: what the disk holds is not known.
+    /// [`Fault::Unsure`] as a sync fails: what was written since the last one that succeeded is written anew, into new files, by
+    /// the next call that writes or syncs.
     pub fn sync(&mut self) -> Result<(), Fault> {
+        self.compaction.replace_suspect(&mut self.log)?;
         self.log.sync()
     }
 
