--- /dev/null
+++ b/crates/sailcart-sender/tests/short_calls.rs
@@ -0,0 +1,52 @@
+//! Reads and writes that are cut short while no new report of the kernel follows, and waits that are interrupted: nobody waits for bytes
+//! that are there.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+#[allow(dead_code)] // other tests use the rest of it
+mod peer;
+
+use peer::world::World;
+use peer::{answer, command};
+use sailcart_shim::{Count, Word};
+
+/// A fifth of the reads takes at most forty bytes, a fifth of the writes is cut anywhere.
+#[test]
+fn nobody_waits_for_bytes_that_are_there() {
+    const PACKETS: usize = 200;
+    let mut world =
+        World::new("short-calls", |_, _| answer("200 OK", "X-Some: header of an answer\r\n", "and a body"));
+    let page = world.with_faults();
+    world.kill();
+    world.start();
+    world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
+    for (word, value) in
+        [(Word::ReadCut, 200), (Word::ReadCutMost, 40), (Word::WriteCut, 200), (Word::WaitInterrupted, 100)]
+    {
+        page.set(word, value).expect("a page");
+    }
+    let mut client = TcpStream::connect(world.listen).expect("a connection");
+    client.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+    for number in 0..PACKETS {
+        let id = format!("p{number}");
+        let words = command(&id, &format!("c=notice,t=acme,d=8000,k={id},dest=7"), &"body".repeat(50));
+        let start = Instant::now();
+        client.write_all(words.as_bytes()).expect("room");
+        let mut answer = [0; 5];
+        client.read_exact(&mut answer).expect("an answer");
+        assert_eq!(&answer, b"+OK\r\n");
+        assert!(
+            start.elapsed() < Duration::from_millis(400),
+            "packet {number} answered after {:?}",
+            start.elapsed()
+        );
+    }
+    world.until("all calls", |world| world.came().len() >= PACKETS);
+    assert_eq!(world.came().len(), PACKETS, "none was sent again");
+    assert_eq!(world.notices(), [""; 0]);
+    for count in [Count::ReadCut, Count::WriteCut, Count::WaitInterrupted] {
+        assert!(page.count(count) > 20, "{count:?}: {}", page.count(count));
+    }
+}
