Spans over processes stand on the monotonic clock and the kernel's boot id

Change: memory/moment.rs: a record holds the wall clock, the monotonic clock and the boot id. Within one start of the machine spans are the monotonic clock's; behind another boot id a call counts as sent long ago, so it does not go again where its key may be forgotten, and a deadline goes by the wall clock, within the packet's patience. Store format 3; folders of format 2 are read and go on (fixture written by the release before). `sailcart store show` reckons what is left the same way. A line at each start tells both clocks. The test of damage names the newest format that is read, 3 in place of 2; all others changed in the name of the type alone.

--- a/crates/sailcart-sender/examples/ledger.rs
+++ b/crates/sailcart-sender/examples/ledger.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use sailcart::DestinationId;
+use sailcart_sender::memory::Packet;
 use sailcart_sender::memory::ledger::Ledger;
-use sailcart_sender::memory::{Packet, Unix};
+use sailcart_sender::memory::moment::Moment;
 
 const ROOM: u64 = 3_000_000;
 const HELD: u64 = 1_500;
@@ -19,7 +20,7 @@
         mark: Some(format!("{:016x}", number.0).into()),
         about: None,
         destination: DestinationId(7),
-        ends: Unix(Duration::from_secs(1_764_000_000)),
+        ends: Moment::by_wall_clock(Duration::from_secs(1_764_000_000)),
         body: vec![b'x'; 200].into(),
     }
 }
@@ -43,7 +44,9 @@
         };
         let mut packet = Some(packet);
         timed(&mut || ledger.take(packet.take().expect("one")).expect("room"));
-        timed(&mut || ledger.sends(&[id], Unix(Duration::from_secs(1_764_000_000))).expect("room"));
+        timed(&mut || {
+            ledger.sends(&[id], Moment::by_wall_clock(Duration::from_secs(1_764_000_000))).expect("room")
+        });
         timed(&mut || ledger.over(id));
     }
     let rate = all.len() as f64 / start.elapsed().as_secs_f64();
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -47,7 +47,7 @@
         let may_go = ids.iter().all(|id| sender.may_still_go(now, *id)) && !desk.waits_for_notice(call);
         let questions = Questions { kept: over.is_none(), may_go };
         // In one record: else one that goes wrong half-way leaves doubt of packets that never went.
-        let permitted = questions.permit(|| desk.ledger.sends(&ids, desk.clock.unix(now)));
+        let permitted = questions.permit(|| desk.ledger.sends(&ids, desk.clock.moment(now)));
         match &permitted {
             Ok(_) => call.sent.set(Some(Instant::now())),
             Err(refusal) => log::debug!("call to {}: not sent, {refusal:?}", call.address),
@@ -77,7 +77,7 @@
             }
             log::debug!("packet {} from {}: {outcome:?} after {elapsed:?}", packet.id, call.address);
             sender.outcome(now, id, elapsed, *outcome, *over);
-            if *outcome == Outcome::Done && packet.ends <= desk.clock.unix(now) {
+            if *outcome == Outcome::Done && desk.clock.is_over(packet.ends) {
                 // Whether it came in time nobody can tell here: the platform hears of an end, which does no harm to one
                 // that is over.
                 desk.owe(id, Notice::Scrapped);
--- a/crates/sailcart-sender/src/exchange/clock.rs
+++ b/crates/sailcart-sender/src/exchange/clock.rs
@@ -1,8 +1,8 @@
-//! The sender's clock.
+//! The sender's clock: real time since this process began, and where the moments that its journal tells lie on it.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-use crate::memory::Unix;
+use crate::memory::moment::{BootId, Distance, Moment, Span, boot_id};
 
 /// Longer than any destination remembers a key.
 const LONG_AGO: Duration = Duration::from_secs(24 * 3600);
@@ -11,34 +11,55 @@
 pub(super) struct Clock {
     start: Instant,
     lead: Duration,
-    zero: Duration,
+    boot: Option<BootId>,
 }
 
 impl Clock {
-    /// From the times at which dispatches of earlier lives were sent. Guards against a machine's clock that went
-    /// back since: one that lies ahead was sent at a time unknown, so its key counts as long forgotten.
-    pub(super) fn new(sent: impl Iterator<Item = Unix>) -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let known = |at: Unix| if at.0 > unix { unix.saturating_sub(LONG_AGO) } else { at.0 };
-        let zero = sent.map(known).min().unwrap_or(unix);
-        Clock { start: Instant::now(), lead: unix - zero, zero }
+    /// From the moments at which dispatches of earlier lives were sent.
+    pub(super) fn new(sent: impl Iterator<Item = Moment>) -> Self {
+        let boot = boot_id();
+        let now = Moment::now(boot);
+        log::info!("clock: boot={:?} uptime={:?} unix={:?}", boot, now.uptime.map(|up| up.since), now.unix);
+        let lead = sent.map(|at| age(now, at)).max().unwrap_or_default();
+        Clock { start: Instant::now(), lead, boot }
     }
 
     pub(super) fn now(&self) -> Duration {
         self.lead + self.start.elapsed()
     }
 
-    pub(super) fn unix(&self, at: Duration) -> Unix {
-        Unix(self.zero.saturating_add(at))
+    /// A time of this clock as the journal keeps it.
+    pub(super) fn moment(&self, at: Duration) -> Moment {
+        let (now, moment) = (self.now(), Moment::now(self.boot));
+        if at >= now { moment.later(at - now) } else { moment.earlier(now - at) }
     }
 
     /// When a dispatch of an earlier life was sent.
-    pub(super) fn doubt(&self, unix: Unix) -> Duration {
-        let at = self.since(unix);
-        if at > self.now() { Duration::ZERO } else { at }
+    pub(super) fn doubt(&self, sent: Moment) -> Duration {
+        self.now().saturating_sub(age(Moment::now(self.boot), sent))
     }
 
-    pub(super) fn since(&self, unix: Unix) -> Duration {
-        unix.0.saturating_sub(self.zero)
+    /// When a packet's time is over. Where only the wall clock tells, it is believed: whoever takes the packet back bounds it.
+    pub(super) fn end(&self, ends: Moment) -> Duration {
+        let (Distance::Sure(span) | Distance::Unsure(span)) = Moment::now(self.boot).distance(ends);
+        match span {
+            Span::Ahead(span) => self.now().saturating_add(span),
+            Span::Ago(span) => self.now().saturating_sub(span),
+        }
+    }
+
+    /// Whether a packet's time is over.
+    pub(super) fn is_over(&self, ends: Moment) -> bool {
+        self.end(ends) <= self.now()
+    }
+}
+
+/// How long ago a dispatch was sent, or so long that its key is surely forgotten, where that cannot be told: the machine has been
+/// started anew since, or its clock went back. A record of an earlier format has the wall clock alone.
+fn age(now: Moment, sent: Moment) -> Duration {
+    match now.distance(sent) {
+        Distance::Sure(Span::Ago(span)) => span,
+        Distance::Unsure(Span::Ago(span)) if sent.uptime.is_none() => span,
+        _ => LONG_AGO,
     }
 }
--- a/crates/sailcart-sender/src/exchange/desk.rs
+++ b/crates/sailcart-sender/src/exchange/desk.rs
@@ -78,7 +78,7 @@
     pub(super) fn end(&mut self, id: PacketId, notice: Notice) {
         let (ends, dispatches) =
             (self.ledger.packet(id).map(|packet| packet.ends), self.ledger.stand(id).dispatches);
-        if let Some(left) = ends.map(|ends| ends.0.saturating_sub(self.clock.unix(self.clock.now()).0)) {
+        if let Some(left) = ends.map(|ends| self.clock.end(ends).saturating_sub(self.clock.now())) {
             log::debug!("packet {}: ends {notice:?}, {dispatches} dispatches, {left:?} left", id.0);
         }
         let Some(waiting) = self.answers.remove(&id) else { return self.owe(id, notice) };
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -68,7 +68,7 @@
         read: impl FnOnce(&mut dyn Iterator<Item = (PacketId, &str, Notice)>) -> T,
     ) -> T {
         let desk = &self.within.borrow().desk;
-        read(&mut desk.ledger.tellable(desk.clock.unix(desk.clock.now())))
+        read(&mut desk.ledger.tellable(|ends| desk.clock.is_over(ends)))
     }
 
     /// How often an invariant did not hold in this process.
--- a/crates/sailcart-sender/src/exchange/packets.rs
+++ b/crates/sailcart-sender/src/exchange/packets.rs
@@ -133,7 +133,7 @@
             mark: put.mark.map(Into::into),
             about: put.about.map(Into::into),
             destination: DestinationId(put.destination),
-            ends: self.clock.unix(now.saturating_add(put.patience)),
+            ends: self.clock.moment(now.saturating_add(put.patience)),
             body: put.body.into(),
         }
     }
@@ -152,7 +152,7 @@
             category: CategoryId(*category),
             customer: customer.map(CustomerId),
             key: packet.about.as_deref().map(key),
-            ends: self.clock.since(packet.ends),
+            ends: self.clock.end(packet.ends),
             dispatches: stand.dispatches,
             doubt: stand.doubt.or(stand.out).map(|at| self.clock.doubt(at)),
             taken_on: false,
--- a/crates/sailcart-sender/src/inspect.rs
+++ b/crates/sailcart-sender/src/inspect.rs
@@ -2,12 +2,13 @@
 
 use std::fmt::Write;
 use std::path::Path;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use sailcart_store::{Change, Disk, Fault, Room, Standing, Store, Sync};
 
+use crate::memory::moment::{Distance, Moment, Span, boot_id};
 use crate::memory::records::{Form, Record, key, read, write_stand};
-use crate::memory::{Notice, Stand, Unix};
+use crate::memory::{Notice, Stand};
 
 /// A sender that runs may retire a segment under the reader's hands: it looks again.
 const LOOKS: usize = 5;
@@ -58,12 +59,16 @@
 /// A line for each packet that is not over and each notice that is owed.
 pub fn show(folder: &Path) -> Result<String, String> {
     let (_, records, _) = records(folder)?;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = Moment::now(boot_id());
     let mut text = String::new();
     for record in &records {
         match record {
             Record::Packet(packet) => {
-                let left = packet.ends.0.as_secs_f64() - now.as_secs_f64();
+                let (Distance::Sure(span) | Distance::Unsure(span)) = now.distance(packet.ends);
+                let left = match span {
+                    Span::Ahead(left) => left.as_secs_f64(),
+                    Span::Ago(over) => -over.as_secs_f64(),
+                };
                 let _ = write!(
                     text,
                     "packet {}: category {}, destination {}, {} bytes, {left:.1} s left",
@@ -149,7 +154,7 @@
             Some(Record::Stand(_, stand)) => stand,
             _ => Stand::default(),
         };
-        let doubt = Some(Unix(packet.ends.0.saturating_sub(LONG_AGO)));
+        let doubt = Some(Moment::by_wall_clock(packet.ends.unix.saturating_sub(LONG_AGO)));
         let value = write_stand(&Stand { dispatches: stand.dispatches.max(1), doubt, out: None });
         store.write(&[Change::Put(&key(Form::Stand, packet.number), &value)])?;
     }
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -11,8 +11,9 @@
 
 use super::backlog::{Backlog, Group, OwnedChange};
 use super::format1;
+use super::moment::Moment;
 use super::records::{self, Form, Record, key};
-use super::{Notice, Packet, Stand, Unix};
+use super::{Notice, Packet, Stand};
 
 struct Kept {
     packet: Rc<Packet>,
@@ -24,7 +25,7 @@
     id: Box<str>,
     notice: Notice,
     /// When its packet's time is over: from then on no process calls for it. `None` for one of an earlier life, whose record stands.
-    ends: Option<Unix>,
+    ends: Option<Moment>,
 }
 
 /// The last packets that are over, and what their clients were told at once where they were not taken on.
@@ -174,7 +175,7 @@
 
     /// What a packet may still need: how it stands, and its notice or its being over.
     fn reserve(packet: &Packet) -> u64 {
-        let (start, notice) = (Unix(Default::default()), Notice::Dismissed(Some(Default::default())));
+        let (start, notice) = (packet.ends, Notice::Dismissed(Some(Default::default())));
         let stand = Stand { doubt: Some(start), out: Some(start), dispatches: 0 };
         let cost = |form, value: &[u8]| Store::<Disk>::cost(&key(form, packet.number), value);
         cost(Form::Stand, &records::write_stand(&stand))
@@ -239,7 +240,7 @@
     ///
     /// # Errors
     /// Where it cannot be recorded, also for the loss of power where that is asked for: then the call must not go.
-    pub fn sends(&mut self, ids: &[PacketId], at: Unix) -> io::Result<()> {
+    pub fn sends(&mut self, ids: &[PacketId], at: Moment) -> io::Result<()> {
         let kept: Vec<PacketId> = ids.iter().copied().filter(|id| self.kept.contains_key(id)).collect();
         let before: Vec<_> = kept.iter().map(|id| (*id, self.stand(*id))).collect();
         let stands = before.iter().map(|(id, old)| {
@@ -352,12 +353,15 @@
     }
 
     /// Those that may be told: their end is recorded, or their packet's time is over, so that no process calls for it again.
-    pub fn tellable(&self, now: Unix) -> impl Iterator<Item = (PacketId, &str, Notice)> {
+    pub fn tellable(
+        &self,
+        is_over: impl Fn(Moment) -> bool,
+    ) -> impl Iterator<Item = (PacketId, &str, Notice)> {
         let all_recorded = self.is_recorded();
         let may = move |id: &PacketId, owed: &Owed| match owed.ends {
             None => true,
             Some(ends) => {
-                all_recorded || ends <= now || !(self.store.wants_sync() || self.backlog.concerns(*id))
+                all_recorded || is_over(ends) || !(self.store.wants_sync() || self.backlog.concerns(*id))
             }
         };
         let may_go = self.owed.iter().filter(move |(id, owed)| may(id, owed));
--- a/crates/sailcart-sender/src/memory/mod.rs
+++ b/crates/sailcart-sender/src/memory/mod.rs
@@ -3,6 +3,7 @@
 pub mod backlog;
 pub mod format1;
 pub mod ledger;
+pub mod moment;
 pub mod pool;
 pub mod records;
 pub mod untold;
@@ -12,9 +13,7 @@
 
 use sailcart::{DestinationId, PacketId};
 
-/// Since the Unix epoch: the only time that means the same to the next process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Unix(pub Duration);
+use self::moment::Moment;
 
 /// A packet as it was handed in.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,7 +25,7 @@
     pub mark: Option<Box<str>>,
     pub about: Option<Box<str>>,
     pub destination: DestinationId,
-    pub ends: Unix,
+    pub ends: Moment,
     pub body: Box<[u8]>,
 }
 
@@ -35,9 +34,9 @@
 pub struct Stand {
     pub dispatches: u32,
     /// When the first dispatch that may have run was sent.
-    pub doubt: Option<Unix>,
+    pub doubt: Option<Moment>,
     /// When the dispatch that is out was sent.
-    pub out: Option<Unix>,
+    pub out: Option<Moment>,
 }
 
 /// What the platform is owed for a packet that ended without being delivered.
--- a/crates/sailcart-sender/src/memory/records.rs
+++ b/crates/sailcart-sender/src/memory/records.rs
@@ -9,7 +9,8 @@
 use nom::{IResult, Parser};
 use sailcart::{DestinationId, PacketId};
 
-use super::{Notice, Packet, Stand, Unix};
+use super::moment::{BootId, Moment, Uptime};
+use super::{Notice, Packet, Stand};
 
 /// What a key is about; keys of one form stand together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +23,10 @@
 
 pub type Key = [u8; 9];
 
+/// The first byte of values that hold moments. Those of the format before had the wall clock alone and began with a zero: the first of a
+/// time in microseconds, or of a small number.
+const FORMAT: u8 = 3;
+
 pub fn key(form: Form, id: PacketId) -> Key {
     let mut key = [form as u8; 9];
     key[1..].copy_from_slice(&id.0.to_be_bytes());
@@ -56,8 +61,9 @@
 }
 
 pub fn write_packet(packet: &Packet) -> Vec<u8> {
-    let mut out = Vec::with_capacity(packet.body.len() + 128);
-    number(&mut out, micros(packet.ends.0));
+    let mut out = Vec::with_capacity(packet.body.len() + 160);
+    out.push(FORMAT);
+    put_moment(&mut out, packet.ends);
     number(&mut out, packet.destination.0);
     bytes(&mut out, packet.id.as_bytes());
     bytes(&mut out, packet.category.as_bytes());
@@ -72,10 +78,14 @@
 }
 
 pub fn write_stand(stand: &Stand) -> Vec<u8> {
-    let mut out = Vec::new();
+    let mut out = vec![FORMAT];
     out.extend(stand.dispatches.to_be_bytes());
-    maybe_span(&mut out, stand.doubt.map(|at| at.0));
-    maybe_span(&mut out, stand.out.map(|at| at.0));
+    for moment in [stand.doubt, stand.out] {
+        out.push(moment.is_some().into());
+        if let Some(moment) = moment {
+            put_moment(&mut out, moment);
+        }
+    }
     out
 }
 
@@ -119,14 +129,24 @@
     }
 }
 
+fn put_moment(out: &mut Vec<u8>, moment: Moment) {
+    number(out, micros(moment.unix));
+    out.push(moment.uptime.is_some().into());
+    if let Some(Uptime { boot, since }) = moment.uptime {
+        number(out, boot.0);
+        number(out, micros(since));
+    }
+}
+
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
 /// A packet's value. The journal of format 1 has the same after a number.
 pub fn packet(number: PacketId, input: &[u8]) -> IResult<&[u8], Packet> {
-    let (rest, (ends, destination, id, category)) =
-        (a_span.map(Unix), be_u64.map(DestinationId), word, word).parse(input)?;
+    let (rest, moments) = moments(input)?;
+    let (rest, ends) = moments.read(rest)?;
+    let (rest, (destination, id, category)) = (be_u64.map(DestinationId), word, word).parse(rest)?;
     let (rest, (customer, mark, about)) = (maybe_word, maybe_word, maybe_word).parse(rest)?;
     let (rest, body) = length_data(be_u32).parse(rest)?;
     let body = body.into();
@@ -134,8 +154,46 @@
 }
 
 pub fn stand(input: &[u8]) -> IResult<&[u8], Stand> {
-    let (rest, (dispatches, doubt, out)) = (be_u32, a_maybe_span, a_maybe_span).parse(input)?;
-    Ok((rest, Stand { dispatches, doubt: doubt.map(Unix), out: out.map(Unix) }))
+    let (rest, moments) = moments(input)?;
+    let maybe = |input| maybe(input, |rest| moments.read(rest));
+    let (rest, (dispatches, doubt, out)) = (be_u32, maybe, maybe).parse(rest)?;
+    Ok((rest, Stand { dispatches, doubt, out }))
+}
+
+/// How a value holds its moments.
+#[derive(Clone, Copy)]
+enum Moments {
+    /// By the wall clock alone, as up to format 2.
+    Wall,
+    Both,
+}
+
+fn moments(input: &[u8]) -> IResult<&[u8], Moments> {
+    let (rest, first) = be_u8(input)?;
+    Ok(if first == FORMAT { (rest, Moments::Both) } else { (input, Moments::Wall) })
+}
+
+impl Moments {
+    fn read(self, input: &[u8]) -> IResult<&[u8], Moment> {
+        let (rest, unix) = a_span(input)?;
+        match self {
+            Moments::Wall => Ok((rest, Moment::by_wall_clock(unix))),
+            Moments::Both => {
+                let (rest, uptime) = maybe(rest, uptime)?;
+                Ok((rest, Moment { unix, uptime }))
+            }
+        }
+    }
+}
+
+fn uptime(input: &[u8]) -> IResult<&[u8], Uptime> {
+    (be_u64.map(BootId), a_span).map(|(boot, since)| Uptime { boot, since }).parse(input)
+}
+
+/// A value behind a byte that tells whether it is there.
+fn maybe<T>(input: &[u8], read: impl Fn(&[u8]) -> IResult<&[u8], T>) -> IResult<&[u8], Option<T>> {
+    let (rest, there) = be_u8(input)?;
+    cond(there == 1, |input| read(input)).parse(rest)
 }
 
 pub fn notice(input: &[u8]) -> IResult<&[u8], Notice> {
@@ -148,8 +206,7 @@
 }
 
 fn maybe_word(input: &[u8]) -> IResult<&[u8], Option<Box<str>>> {
-    let (rest, there) = be_u8(input)?;
-    cond(there == 1, word).parse(rest)
+    maybe(input, |rest| word(rest))
 }
 
 fn a_span(input: &[u8]) -> IResult<&[u8], Duration> {
@@ -157,6 +214,5 @@
 }
 
 fn a_maybe_span(input: &[u8]) -> IResult<&[u8], Option<Duration>> {
-    let (rest, there) = be_u8(input)?;
-    cond(there == 1, a_span).parse(rest)
+    maybe(input, |rest| a_span(rest))
 }
--- /dev/null
+++ b/crates/sailcart-sender/tests/formats.rs
@@ -0,0 +1,127 @@
+//! Folders of earlier formats, and of a machine that was started anew.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use sailcart::DestinationId;
+use sailcart_sender::memory::ledger::Ledger;
+use sailcart_sender::memory::moment::{BootId, Distance, Moment, Span, Uptime, boot_id};
+use sailcart_sender::memory::{Notice, Packet, Stand};
+use sailcart_store::Sync;
+
+#[allow(dead_code)] // other tests use the rest of it
+mod peer;
+
+use peer::answer;
+use peer::world::World;
+
+/// A folder that the release before this format wrote: six packets, of which one is untried, one out, one in doubt, one ended with a
+/// notice owed, one delivered and one refused at once.
+const FORMAT_2: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/store-format-2");
+/// When that folder says that its packets' time is over, and when the first of its calls went.
+const ENDS: Duration = Duration::from_secs(1_764_000_024);
+const FIRST_CALL: Duration = Duration::from_millis(1_764_000_000_500);
+
+fn copy_of_format_2(story: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("sailcart-{}-{story}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    fs::create_dir_all(&folder).expect("a folder");
+    for file in fs::read_dir(FORMAT_2).expect("the fixture").flatten() {
+        fs::copy(file.path(), folder.join(file.file_name())).expect("a copy");
+    }
+    folder
+}
+
+fn open(folder: &Path) -> Ledger {
+    Ledger::open(folder, 64 * 1024, 16, Sync::None).expect("a journal")
+}
+
+#[test]
+fn a_folder_of_format_2_is_read_whole_and_goes_on_in_format_3() {
+    let folder = copy_of_format_2("format-2");
+    let mut ledger = open(&folder);
+    let kept = ledger.unended();
+    let names: Vec<&str> = kept.iter().map(|packet| &*packet.id).collect();
+    assert_eq!(names, ["untried", "out", "doubt"]);
+    assert!(
+        kept.iter().all(|packet| packet.ends == Moment::by_wall_clock(ENDS) && *packet.body == *b"hello")
+    );
+    let stands: Vec<Stand> = kept.iter().map(|packet| ledger.stand(packet.number)).collect();
+    let first = Some(Moment::by_wall_clock(FIRST_CALL));
+    let second = Some(Moment::by_wall_clock(FIRST_CALL + Duration::from_millis(100)));
+    let expected = [
+        Stand::default(),
+        Stand { dispatches: 1, doubt: None, out: first },
+        Stand { dispatches: 1, doubt: second, out: None },
+    ];
+    assert_eq!(stands, expected);
+    let owed: Vec<_> = ledger.owed().map(|(_, id, notice)| (id.to_owned(), notice)).collect();
+    assert_eq!(owed, [("owed".to_owned(), Notice::Dismissed(Some(Duration::from_millis(500))))]);
+    assert_eq!(ledger.ended("over"), Some(None));
+    let busy = Notice::Dismissed(Some(Duration::from_millis(250)));
+    assert_eq!(ledger.ended("busy"), Some(Some(busy)));
+
+    // What it writes now stands beside what it found, also after the next start.
+    let now = Moment { unix: ENDS, uptime: Some(Uptime { boot: BootId(7), since: Duration::from_secs(5) }) };
+    ledger.sends(&[kept[0].number], now).expect("room");
+    drop(ledger);
+    let ledger = open(&folder);
+    assert_eq!(ledger.stand(kept[0].number), Stand { dispatches: 1, doubt: None, out: Some(now) });
+    assert_eq!(ledger.stand(kept[1].number), expected[1]);
+}
+
+/// The kernel's boot id is another: how long ago the call went nobody can tell, whatever the wall clock says. So it does not go again
+/// where its key may be forgotten; what was never called is.
+#[test]
+fn a_machine_that_was_started_anew_repeats_nothing_and_tries_what_is_untried() {
+    let mut world = World::new("other-boot", |_, _| answer("200 OK", "", ""));
+    world.kill();
+    let mut ledger = Ledger::open(&world.folder, 1_000_000, 16, Sync::None).expect("a journal");
+    let other = |moment: Moment| Moment {
+        uptime: Some(Uptime {
+            boot: BootId(!boot_id().map_or(0, |boot| boot.0)),
+            since: Duration::from_secs(9),
+        }),
+        ..moment
+    };
+    let now = Moment::now(boot_id());
+    let mut take = |id: &str| {
+        let packet = Packet {
+            number: ledger.next(),
+            id: id.into(),
+            category: "notice".into(),
+            customer: None,
+            mark: Some(id.into()),
+            about: None,
+            destination: DestinationId(7),
+            ends: other(now.later(Duration::from_secs(20))),
+            body: b"hello".to_vec().into(),
+        };
+        let number = packet.number;
+        ledger.take(packet).expect("room");
+        number
+    };
+    let (called, _untried) = (take("called"), take("untried"));
+    ledger.sends(&[called], other(now)).expect("room");
+    drop(ledger);
+    world.start();
+    world.until("the call", |world| world.came() == ["untried"]);
+    world.until("the end", |world| world.notices().iter().any(|line| line.contains("called")));
+    assert_eq!(world.came(), ["untried"]);
+}
+
+#[test]
+fn a_distance_is_sure_within_one_start_of_the_machine_only() {
+    let at = |boot, unix, since| Moment {
+        unix: Duration::from_secs(unix),
+        uptime: Some(Uptime { boot: BootId(boot), since: Duration::from_secs(since) }),
+    };
+    let now = at(1, 1000, 50);
+    let ago = |seconds| Span::Ago(Duration::from_secs(seconds));
+    assert_eq!(now.distance(at(1, 5000, 40)), Distance::Sure(ago(10)), "the wall clock went back since");
+    assert_eq!(now.distance(at(1, 0, 60)), Distance::Sure(Span::Ahead(Duration::from_secs(10))));
+    assert_eq!(now.distance(at(2, 990, 40)), Distance::Unsure(ago(10)));
+    assert_eq!(now.distance(Moment::by_wall_clock(Duration::from_secs(998))), Distance::Unsure(ago(2)));
+    assert_eq!(now.later(Duration::from_secs(3)).earlier(Duration::from_secs(3)), now);
+}
--- a/crates/sailcart-sender/tests/journal.rs
+++ b/crates/sailcart-sender/tests/journal.rs
@@ -6,7 +6,8 @@
 
 use sailcart::{DestinationId, PacketId};
 use sailcart_sender::memory::ledger::Ledger;
-use sailcart_sender::memory::{Notice, Packet, Stand, Unix};
+use sailcart_sender::memory::moment::Moment;
+use sailcart_sender::memory::{Notice, Packet, Stand};
 use sailcart_store::Sync;
 
 const ROOM: u64 = 64 * 1024;
@@ -32,7 +33,7 @@
         mark: None,
         about: Some("".into()),
         destination: DestinationId(7),
-        ends: Unix(Duration::from_micros(1_764_000_000_123_456)),
+        ends: Moment::by_wall_clock(Duration::from_micros(1_764_000_000_123_456)),
         body: vec![b'x'; bytes].into(),
     }
 }
@@ -53,7 +54,7 @@
     let folder = folder("owed");
     let mut ledger = open(&folder);
     let [a, b, c, d, e] = ["a", "b", "c", "d", "e"].map(|id| take(&mut ledger, id));
-    let at = |ms| Unix(Duration::from_millis(ms));
+    let at = |ms| Moment::by_wall_clock(Duration::from_millis(ms));
     for id in [a, b, c] {
         ledger.sends(&[id], at(5)).expect("room");
     }
@@ -85,13 +86,13 @@
     let folder = folder("doubt");
     let mut ledger = open(&folder);
     let id = take(&mut ledger, "a");
-    ledger.sends(&[id], Unix(Duration::from_secs(5))).expect("room");
+    ledger.sends(&[id], Moment::by_wall_clock(Duration::from_secs(5))).expect("room");
     drop(ledger);
     let mut ledger = open(&folder);
-    ledger.sends(&[id], Unix(Duration::from_secs(9))).expect("room");
+    ledger.sends(&[id], Moment::by_wall_clock(Duration::from_secs(9))).expect("room");
     ledger.came_back(id, false);
     drop(ledger);
-    let doubt = Some(Unix(Duration::from_secs(5)));
+    let doubt = Some(Moment::by_wall_clock(Duration::from_secs(5)));
     assert_eq!(open(&folder).stand(id), Stand { dispatches: 2, doubt, out: None });
 }
 
@@ -174,7 +175,7 @@
     for life in 0..2 {
         let ledger = open(&folder);
         assert_eq!(ids(&ledger), ["a"], "life {life}");
-        let at = Some(Unix(Duration::from_millis(5)));
+        let at = Some(Moment::by_wall_clock(Duration::from_millis(5)));
         assert_eq!(ledger.stand(PacketId(3)), Stand { dispatches: 2, doubt: at, out: None });
         assert_eq!(&*ledger.packet(PacketId(3)).expect("kept").body, b"body");
         let owed: Vec<_> = ledger.owed().map(|(id, name, notice)| (id, name.to_owned(), notice)).collect();
@@ -195,7 +196,7 @@
     let staying = take(&mut ledger, "staying");
     for n in 0..2000 {
         let id = take(&mut ledger, &format!("{n}"));
-        ledger.sends(&[id], Unix(Duration::from_secs(n))).expect("room");
+        ledger.sends(&[id], Moment::by_wall_clock(Duration::from_secs(n))).expect("room");
         ledger.over(id);
         let bytes = size(&folder);
         assert!(bytes <= ROOM, "{bytes} bytes");
@@ -218,7 +219,7 @@
     let taken = taken.count();
     assert_eq!(taken, 8, "half of the room, with what they may still need");
     let first = ledger.unended()[0].number;
-    ledger.sends(&[first], Unix(Duration::ZERO)).expect("what was taken can go");
+    ledger.sends(&[first], Moment::by_wall_clock(Duration::ZERO)).expect("what was taken can go");
     ledger.over(first);
     assert!(ledger.take(packet(&ledger, "next", 4000)).is_ok());
 }
--- a/crates/sailcart-sender/tests/store.rs
+++ b/crates/sailcart-sender/tests/store.rs
@@ -7,7 +7,8 @@
 
 use sailcart::{DestinationId, PacketId};
 use sailcart_sender::memory::ledger::Ledger;
-use sailcart_sender::memory::{Notice, Packet, Unix};
+use sailcart_sender::memory::moment::Moment;
+use sailcart_sender::memory::{Notice, Packet};
 use sailcart_store::Sync;
 
 const ROOM: u64 = 256 * 1024;
@@ -27,7 +28,7 @@
         mark: None,
         about: None,
         destination: DestinationId(7),
-        ends: Unix(now + Duration::from_secs(60)),
+        ends: Moment::by_wall_clock(now + Duration::from_secs(60)),
         body: vec![b'x'; 300].into(),
     };
     ledger.take(packet).expect("room");
@@ -47,7 +48,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let mut ledger = open(folder.path());
     let [a, b, c] = ["aa", "bb", "cc"].map(|id| take(&mut ledger, id));
-    ledger.sends(&[a], Unix(Duration::from_secs(5))).expect("room");
+    ledger.sends(&[a], Moment::by_wall_clock(Duration::from_secs(5))).expect("room");
     ledger.owe(b, Notice::Scrapped);
     ledger.over(c);
     let (well, said) = say(&["show"], &[folder.path()]);
--- a/crates/sailcart-sender/tests/stories.rs
+++ b/crates/sailcart-sender/tests/stories.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use sailcart::DestinationId;
+use sailcart_sender::memory::Packet;
 use sailcart_sender::memory::ledger::Ledger;
-use sailcart_sender::memory::{Packet, Unix};
+use sailcart_sender::memory::moment::Moment;
 
 #[allow(dead_code)] // other tests use the rest of it
 mod peer;
@@ -194,11 +195,11 @@
         mark: Some("a1".into()),
         about: None,
         destination: DestinationId(7),
-        ends: Unix(ahead + Duration::from_secs(20)),
+        ends: Moment::by_wall_clock(ahead + Duration::from_secs(20)),
         body: b"hello"[..].into(),
     };
     ledger.take(packet).expect("room");
-    ledger.sends(&[number], Unix(ahead)).expect("room");
+    ledger.sends(&[number], Moment::by_wall_clock(ahead)).expect("room");
     drop(ledger);
     world.start();
     world.until("its end is told", |world| !world.notices().is_empty());
--- a/crates/sailcart-store/src/segment.rs
+++ b/crates/sailcart-store/src/segment.rs
@@ -5,8 +5,9 @@
 use crate::files::{Files, read_most};
 use crate::frame::{self, Found};
 
-/// The format that this code writes. 1 was the single file `journal`.
-pub(crate) const VERSION: u32 = 2;
+/// The format that this code writes. 1 was the single file `journal`; 2 had the same files, and values of callers that knew the wall
+/// clock alone. Both are read.
+pub(crate) const VERSION: u32 = 3;
 const MARK: &[u8; 4] = b"SCSL";
 pub(crate) const HEAD: usize = 4 + 4 + 8 + 8 + 4;
 /// Bytes read at once while a log is walked.
--- a/crates/sailcart-store/tests/damage.rs
+++ b/crates/sailcart-store/tests/damage.rs
@@ -97,7 +97,7 @@
     bytes[27..].copy_from_slice(&sum);
     files.set("manifest", &bytes);
     let newer = tried(&files);
-    assert!(matches!(newer, Err(Fault::Newer { found: 9, known: 2, .. })), "{newer:?}");
+    assert!(matches!(newer, Err(Fault::Newer { found: 9, known: 3, .. })), "{newer:?}");
     // An index that another program left beside the log.
     let files = whole.copy();
     files.set("index", b"whatever");
