--- /dev/null
+++ b/crates/sailcart-sender/tests/notices.rs
@@ -0,0 +1,51 @@
+//! Notices that the platform does not take.
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+#[allow(dead_code)] // other tests use the rest of it
+mod peer;
+
+use peer::world::World;
+use peer::{Call, answer, entry, listen, put};
+
+/// One notice that the platform says it cannot read takes none of the others with it, and a 400 that was said once is no end: the
+/// notice is told again.
+#[test]
+fn a_notice_answered_400_is_told_again_and_takes_no_other_along() {
+    let told = Arc::new(Mutex::new(Vec::<String>::new()));
+    let refused = Arc::new(Mutex::new(0));
+    let (own, count) = (told.clone(), refused.clone());
+    let mut world = World::new("notice-400", |_, _| answer("200 OK", "", ""));
+    let list = format!(
+        r#"{{"generation":1,"reset":true,"instances":[{}]}}"#,
+        entry("e", world.endpoint, 7, "Terminating")
+    );
+    let platform = listen("127.0.0.1:0", move |call: &Call| {
+        if !call.start.starts_with("POST /status ") {
+            thread::sleep(Duration::from_millis(200));
+            return answer("200 OK", "", &list);
+        }
+        let body = String::from_utf8_lossy(&call.body).into_owned();
+        let mut refused = count.lock().expect("no panic");
+        if body.contains("bad") && *refused < 3 {
+            *refused += 1;
+            return answer("400 Bad Request", "", "");
+        }
+        own.lock().expect("no panic").extend(body.lines().map(str::to_owned));
+        Some("HTTP/1.1 204 No Content\r\n\r\n".to_owned())
+    });
+    let discovery = world.discovery.to_string();
+    world.restart_with(&[(&discovery, &platform.to_string()), (r#""aim_ms": 3000"#, r#""aim_ms": 500"#)]);
+    for id in ["good-1", "bad-1", "good-2", "good-3"] {
+        let said = put(world.listen, id, &format!("c=notice,t=acme,d=20000,k={id},dest=7"), "hello");
+        assert_eq!(said.expect("an answer"), "+OK");
+    }
+    let heard = |id: &str| told.lock().expect("no panic").iter().filter(|line| line.contains(id)).count();
+    for id in ["good-1", "good-2", "good-3", "bad-1"] {
+        world.until("its notice", |_| heard(id) == 1);
+    }
+    assert_eq!(*refused.lock().expect("no panic"), 3);
+    world.until_folder_shows("0 packets not over, 0 notices owed");
+}
--- a/crates/sailcart-sender/tests/own_faults.rs
+++ b/crates/sailcart-sender/tests/own_faults.rs
@@ -1,5 +1,8 @@
 //! Calls of the operating system that fail for reasons of the sender's own machine, for a moment, in the ways of their man pages.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -7,9 +10,12 @@
 mod peer;
 
 use peer::world::World;
-use peer::{answer, put};
-use sailcart_shim::{Count, EADDRNOTAVAIL, EMFILE, ENETUNREACH, ENOBUFS, Word};
+use peer::{answer, entry, put, say};
+use sailcart_shim::{Count, EADDRNOTAVAIL, ECONNABORTED, EINTR, EMFILE, ENETUNREACH, ENFILE, ENOBUFS, Word};
 
+const PING: &str = "*1\r\n$4\r\nPING\r\n";
+/// Clients in the queue at a stop.
+const CLIENTS: usize = 30;
 /// More than the dispatches that a packet has, each of which a failing connect would take.
 const ROW: Duration = Duration::from_millis(1500);
 
@@ -37,3 +43,62 @@
         assert!(well.elapsed() < Duration::from_millis(800), "called {:?} later", well.elapsed());
     }
 }
+
+/// Connections in the queue are accepted one by one while some of those calls fail for a moment: at a stop, too, everybody in the queue
+/// is heard, and the log does not fill with a line a call.
+#[test]
+fn accepts_that_fail_for_a_moment_lose_nobody() {
+    for errno in [ECONNABORTED, ENFILE, ENOBUFS] {
+        let mut world = World::new(&format!("own-accept-{errno}"), |_, _| answer("200 OK", "", ""));
+        let page = world.with_faults();
+        world.kill();
+        world.start();
+        page.share((Word::Accept, errno), (Word::AcceptPerMille, 500)).expect("a page");
+        for _ in 0..40 {
+            assert_eq!(say(world.listen, PING).expect("an answer"), "+PONG");
+        }
+        // All that come while the sender stops wait in the queue, and each is heard.
+        let clients: Vec<TcpStream> =
+            (0..CLIENTS).map(|_| TcpStream::connect(world.listen).expect("a place")).collect();
+        world.signal("-TERM");
+        let heard = clients.into_iter().map(|mut client| {
+            client.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+            client.write_all(PING.as_bytes()).expect("room");
+            let mut said = String::new();
+            client.read_to_string(&mut said).expect("an end without a reset");
+            said
+        });
+        assert!(heard.filter(|said| said == "+PONG\r\n").count() == CLIENTS, "{}", world.log());
+        world.ended();
+        assert!(page.count(Count::Accept) > 20, "accepts failed");
+        assert!(world.log().matches("code=not_accepted").count() < 16, "a line for each: {}", world.log());
+    }
+}
+
+/// A call that is interrupted is not taken for discovery's having moved, which is followed at once: nothing runs in a loop without a pause.
+#[test]
+fn a_platform_that_cannot_be_called_is_not_asked_without_a_pause() {
+    for errno in [EINTR, EMFILE] {
+        let mut world = World::new(&format!("own-platform-{errno}"), |_, _| answer("200 OK", "", ""));
+        let page = world.with_faults();
+        world.kill();
+        world.start();
+        world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
+        page.share((Word::Connect, errno), (Word::ConnectPerMille, 1000)).expect("a page");
+        // What stands is cut, so that both are to connect again; a notice is owed as well.
+        world.platform.list(&[entry("e", world.endpoint, 7, "Terminating")]);
+        assert_eq!(
+            put(world.listen, "a1", "c=notice,t=acme,d=500,k=a1,dest=7", "hello").expect("an answer"),
+            "+OK"
+        );
+        world.platform.silent.store(true, Ordering::SeqCst);
+        sleep(Duration::from_secs(4));
+        let before = page.count(Count::Connect);
+        sleep(Duration::from_secs(1));
+        let more = page.count(Count::Connect) - before;
+        assert!(more < 60, "{more} connects in a second");
+        page.clear().expect("a page");
+        world.platform.silent.store(false, Ordering::SeqCst);
+        world.until("its notice", |world| world.notices().iter().any(|line| line.contains("a1")));
+    }
+}
