Accepts that fail, interrupted calls and 400 to a notice: nobody is lost, nothing spins

Cause: clients.rs empty_queue returned at the first accept that failed, and the listener's close reset the rest of the queue; a line of the log for each such accept; platform: io::ErrorKind::Interrupted was the sign for a move, so an interrupted connect was made again at once (53,383 a second); notices.rs counted a call answered 400 as told, with all notices in it.

--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -33,6 +33,8 @@
 
 /// Commands of one connection that wait for their answers at most; the rest waits to be read.
 const MOST_PENDING: usize = 64;
+/// The pause after an accept that failed.
+const NOT_ACCEPTED: Duration = Duration::from_millis(10);
 /// How long one idle connection is waited for to make room before another is tried.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -63,13 +65,16 @@
     stopping: Cell<bool>,
     /// Told once no more connections are accepted.
     closing: Notify,
+    /// How often the system refused to accept.
+    not_accepted: Cell<u64>,
 }
 
 impl Clients {
     pub fn new(exchange: Rc<Exchange>, most: usize) -> Rc<Self> {
         let (lines, next, leaving) = (RefCell::default(), Cell::new(0), Cell::new(0));
         let (left, stopping, closing) = (Notify::new(), Cell::new(false), Notify::new());
-        Rc::new(Clients { exchange, most, lines, next, leaving, left, stopping, closing })
+        let not_accepted = Cell::new(0);
+        Rc::new(Clients { exchange, most, lines, next, leaving, left, stopping, closing, not_accepted })
     }
 
     /// Accepts clients until that is called off, and hands the listener back: who waits in its queue is still owed a word.
@@ -86,13 +91,22 @@
             match accepted {
                 Ok((stream, peer)) => self.begin_line(stream, peer),
                 Err(fault) => {
-                    log::warn!("clients: code=not_accepted {fault}");
-                    sleep(Duration::from_millis(10)).await; // out of descriptors, perhaps: not in a busy loop
+                    self.note_not_accepted(&fault);
+                    sleep(NOT_ACCEPTED).await; // out of descriptors, perhaps: not in a busy loop
                 }
             }
         }
     }
 
+    /// The system may refuse to accept for a moment or for long. The log has a line for the first time and for each that doubles it.
+    fn note_not_accepted(&self, fault: &io::Error) {
+        let count = self.not_accepted.get() + 1;
+        self.not_accepted.set(count);
+        if count.is_power_of_two() {
+            log::warn!("clients: code=not_accepted count={count} {fault}");
+        }
+    }
+
     /// Counted before the next one is accepted, which may be before this one's task runs.
     fn begin_line(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let (number, line) = self.enter();
@@ -100,19 +114,26 @@
     }
 
     /// No more are accepted but those that wait in the queue by now: closing it would reset them unseen. True once there were none.
-    pub fn empty_queue(self: &Rc<Self>, listener: &std::net::TcpListener) -> io::Result<bool> {
+    ///
+    /// An accept that fails says nothing of those that wait: it is made again with the next call of this.
+    pub fn empty_queue(self: &Rc<Self>, listener: &std::net::TcpListener) -> bool {
         let mut came = 0;
         while self.open() < self.most + MOST_LEAVING {
-            let (stream, peer) = match listener.accept() {
-                Ok(accepted) => accepted,
-                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return Ok(came == 0),
-                Err(fault) => return Err(fault),
-            };
-            stream.set_nonblocking(true)?;
-            self.begin_line(TcpStream::from_std(stream)?, peer);
+            let begun = listener.accept().and_then(|(stream, peer)| {
+                stream.set_nonblocking(true)?;
+                Ok((TcpStream::from_std(stream)?, peer))
+            });
+            match begun {
+                Ok((stream, peer)) => self.begin_line(stream, peer),
+                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => return came == 0,
+                Err(fault) => {
+                    self.note_not_accepted(&fault);
+                    return false;
+                }
+            }
             came += 1;
         }
-        Ok(false)
+        false
     }
 
     pub fn stop_accepting(&self) {
--- a/crates/sailcart-sender/src/life/stop.rs
+++ b/crates/sailcart-sender/src/life/stop.rs
@@ -66,7 +66,7 @@
     let Ok(listener) = accepting.await else { return Ok(()) };
     let listener = listener.into_std()?;
     while start.elapsed() < LONGEST {
-        if clients.empty_queue(&listener)? && clients.open() == 0 {
+        if clients.empty_queue(&listener) && clients.open() == 0 {
             break;
         }
         sleep(LOOK).await;
--- a/crates/sailcart-sender/src/platform/connection.rs
+++ b/crates/sailcart-sender/src/platform/connection.rs
@@ -12,6 +12,17 @@
 use crate::caller::{self, Reply, Sink, Term};
 use crate::socket::Socket;
 
+/// The platform is elsewhere since a reload, and a call was given up for it. Not [`io::ErrorKind::Interrupted`], which the system's own
+/// calls return too: whoever hears of a move goes on without a pause.
+#[derive(Debug, thiserror::Error)]
+#[error("the platform has moved")]
+pub(super) struct Moved;
+
+/// Whether a call was given up as the platform has moved.
+pub(super) fn is_move(fault: &io::Error) -> bool {
+    fault.get_ref().is_some_and(|inner| inner.is::<Moved>())
+}
+
 /// Where the platform is: a reload may move it.
 pub type Place = watch::Receiver<SocketAddr>;
 
@@ -29,7 +40,7 @@
     }
 
     /// One call and its answer. Guards against waiting at an address that has been left: what is out there ends
-    /// at once, as interrupted, and the next call goes to the new one.
+    /// at once, as [`Moved`], and the next call goes to the new one.
     pub(super) async fn call<S: Sink>(
         &mut self,
         bytes: &[u8],
@@ -41,7 +52,7 @@
             biased;
             Ok(()) = place.changed() => {
                 self.leave(left);
-                Err(io::Error::from(io::ErrorKind::Interrupted).into())
+                Err(io::Error::other(Moved).into())
             }
             reply = self.turn(bytes, limits, sink) => reply,
         }
--- a/crates/sailcart-sender/src/platform/follower.rs
+++ b/crates/sailcart-sender/src/platform/follower.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::connection::{Limits, Place, Wire};
+use super::connection::{Limits, Place, Wire, is_move};
 use crate::caller::{Sink, TooLarge};
 use crate::exchange::{Exchange, ListTooLarge, StagedList};
 use crate::rhythm::{Failure, Rhythm};
@@ -38,7 +38,7 @@
 impl From<io::Error> for NoList {
     fn from(fault: io::Error) -> Self {
         match fault.kind() {
-            io::ErrorKind::Interrupted => NoList::Moved,
+            _ if is_move(&fault) => NoList::Moved,
             io::ErrorKind::InvalidData => NoList::Spoilt(fault.to_string()),
             _ => NoList::Lost(fault),
         }
--- a/crates/sailcart-sender/src/platform/mod.rs
+++ b/crates/sailcart-sender/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod follower;
 mod notices;
+mod refused;
 
 pub use connection::Place;
 pub use follower::Follower;
--- a/crates/sailcart-sender/src/platform/notices.rs
+++ b/crates/sailcart-sender/src/platform/notices.rs
@@ -7,7 +7,8 @@
 use sailcart::PacketId;
 use tokio::time::sleep;
 
-use super::connection::{Limits, Place, Wire};
+use super::connection::{Limits, Place, Wire, is_move};
+use super::refused::Refused;
 use crate::caller::Sink;
 use crate::exchange::Exchange;
 use crate::memory::Notice;
@@ -36,8 +37,13 @@
     let mut wire = Wire { place, stream: None, connect: Duration::MAX };
     let mut told = None; // as above
     let mut lost = 0; // calls in a row without an answer
+    let mut refused = Refused::default();
     loop {
-        let (ids, body) = exchange.tellable(lines);
+        let others_wait =
+            exchange.tellable(|owed| owed.filter(|(id, ..)| !refused.contains(*id)).count() > 0);
+        let alone = refused.alone(others_wait);
+        let goes = |id: PacketId| alone.map_or(!refused.contains(id), |alone| alone == id);
+        let (ids, body) = exchange.tellable(|owed| lines(&mut owed.filter(|(id, ..)| goes(*id))));
         if ids.is_empty() {
             wait_for_notices(&exchange).await;
             continue;
@@ -49,17 +55,23 @@
         match reply.map(|reply| reply.head.map_or(0, |head| head.status)) {
             Ok(204) => {
                 told = None;
+                refused.forget(&ids);
                 exchange.told(&ids);
             }
             Ok(400) => {
-                log::error!("notices: code=unreadable {} dropped: {}", ids.len(), body.trim_end());
-                exchange.told(&ids);
+                // One of them cannot be read, or this answer was spoilt: each goes alone from now on, and again.
+                let given_up = refused.note(&ids);
+                if !given_up.is_empty() {
+                    log::error!("notices: code=unreadable given up: {}", body.trim_end());
+                    exchange.told(&given_up);
+                }
+                sleep(PAUSE).await;
             }
             Ok(status) => {
                 log::warn!("notices: code=answer_{status}");
                 sleep(PAUSE).await;
             }
-            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+            Err(fault) if is_move(&fault) => {}
             Err(fault) => {
                 if told.replace(fault.kind()) != Some(fault.kind()) {
                     log::warn!("notices: code=not_told {fault}");
