Red: answers below 200 without end from discovery hold a start up for good

Found by reading for loops that can run without waiting: caller::hand_on reads on while bytes are there, whatever its term, and each 100 Continue starts anew. Measured: a sender beside such an agent is not ready after ten seconds.

--- a/crates/sailcart-sender/tests/notices.rs
+++ b/crates/sailcart-sender/tests/notices.rs
@@ -1,5 +1,7 @@
 //! Notices that the platform does not take.
 
+use std::io::Write;
+use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -49,3 +51,29 @@
     assert_eq!(*refused.lock().expect("no panic"), 3);
     world.until_folder_shows("0 packets not over, 0 notices owed");
 }
+
+/// A peer that writes answers below 200 without end is given up in the time of its call.
+#[test]
+fn answers_below_200_without_end_are_given_up() {
+    let endless = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = endless.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in endless.incoming().flatten() {
+            let mut stream = stream;
+            thread::spawn(
+                move || while stream.write_all(&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(200)).is_ok() {},
+            );
+        }
+    });
+    let mut world = World::new("endless-100", |_, _| answer("200 OK", "", ""));
+    let discovery = world.discovery.to_string();
+    world.kill();
+    world.config = world.config.replace(&discovery, &address.to_string());
+    world.start();
+    world.until("a call given up", |world| world.log().contains("code=no_list"));
+    let id = "a1";
+    assert_eq!(
+        put(world.listen, id, &format!("c=notice,t=acme,d=8000,k={id},dest=7"), "").expect("an answer"),
+        "+OK"
+    );
+}
