Answers below 200 are bounded: sixteen in front of the answer proper

Cause: caller.rs read and hand_on went on for as long as such answers came; with a peer that writes them without end neither the span of a call nor a start's wait for its first list ended, as only who has to wait for bytes gives up. Change: more than sixteen make an answer that cannot be read. Same shape looked at: chunks (bounded by the body's most), trailers (100 lines), head (bounded by http::head), list reader (by entries).

--- a/crates/sailcart-sender/src/caller.rs
+++ b/crates/sailcart-sender/src/caller.rs
@@ -15,6 +15,8 @@
 pub const PIECE: usize = 64 * 1024;
 /// Room for what is read at once, at least.
 const LEAST_ROOM: usize = 1024;
+/// Answers below 200 in front of the answer proper, at most: a peer may write them without end.
+const MOST_INTERIM: usize = 16;
 /// Lines after the last chunk, at most.
 const MOST_TRAILERS: usize = 100;
 
@@ -98,7 +100,7 @@
     reply: &mut Reply,
 ) -> io::Result<()> {
     let mut incoming = Incoming::new(stream, most, None);
-    loop {
+    for _ in 0..=MOST_INTERIM {
         if incoming.buffer.is_empty() {
             incoming.more().await?;
         }
@@ -112,6 +114,7 @@
             return Ok(());
         }
     }
+    Err(malformed("too many answers below 200"))
 }
 
 /// Reads one answer within its term and hands its body, of a certain size at most, on to a sink.
@@ -123,9 +126,13 @@
 ) -> Result<Reply, S::Fault> {
     let mut incoming = Incoming::new(stream, most, Some(term));
     let mut reply = Reply::default();
-    while incoming.answer(&mut reply, sink).await? < 200 {}
-    reply.whole = incoming.buffer.is_empty();
-    Ok(reply)
+    for _ in 0..=MOST_INTERIM {
+        if incoming.answer(&mut reply, sink).await? >= 200 {
+            reply.whole = incoming.buffer.is_empty();
+            return Ok(reply);
+        }
+    }
+    Err(malformed("too many answers below 200").into())
 }
 
 /// What comes on a connection.
