The price of careful reads and late records: one call and three allocations a packet less

A connection on which nothing is due ends its readiness without a call (endpoints and platform, where the peer speaks only when asked); what can be written at once does not pass the backlog.

--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -135,7 +135,10 @@
     };
     match spoken {
         // Not where the rest of its call is still owed on it.
-        Ok(()) if written && reply.keeps() => return (endings, reply.head, Some(stream)),
+        Ok(()) if written && reply.keeps() => {
+            stream.nothing_is_due();
+            return (endings, reply.head, Some(stream));
+        }
         Ok(()) => ended(call.address, "answer_closes"),
         Err(fault) => ended(call.address, code(&fault)),
     }
--- a/crates/sailcart-sender/src/memory/backlog.rs
+++ b/crates/sailcart-sender/src/memory/backlog.rs
@@ -33,6 +33,13 @@
     pub changes: Vec<OwnedChange>,
 }
 
+impl Group {
+    /// As the store takes them.
+    pub fn as_changes(&self) -> Vec<Change<'_>> {
+        self.changes.iter().map(OwnedChange::as_change).collect()
+    }
+}
+
 /// Groups in the order in which they happened.
 #[derive(Debug, Default)]
 pub struct Backlog {
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -412,16 +412,16 @@
 
     /// Writes changes that follow from what has happened, as soon as the folder takes them.
     fn record_later(&mut self, group: Group) {
-        self.backlog.push(group);
         // Those that are left are written by the next call that can.
-        let _left = self.write_backlog();
+        let in_turn = self.write_backlog().is_ok();
+        if !in_turn || self.write(&group.as_changes()).is_err() {
+            self.backlog.push(group);
+        }
     }
 
     fn write_backlog(&mut self) -> Result<(), Fault> {
         while let Some(group) = self.backlog.first() {
-            let changes: Vec<_> = group.changes.iter().map(OwnedChange::as_change).collect();
-            let written = self.store.write(&changes);
-            drop(changes);
+            let written = self.store.write(&group.as_changes());
             self.tell_health(&written);
             written?;
             self.backlog.written();
--- a/crates/sailcart-sender/src/platform/connection.rs
+++ b/crates/sailcart-sender/src/platform/connection.rs
@@ -82,6 +82,7 @@
         let mut stream = timeout(within, self.say(bytes)).await.map_err(io::Error::from)??;
         let reply = caller::hand_on(&mut stream, most, term, sink).await?;
         if reply.keeps() {
+            stream.nothing_is_due();
             self.stream = Some(stream);
         } else {
             log::info!("platform {}: connection ended, code=answer_closes", self.address());
--- a/crates/sailcart-sender/src/socket.rs
+++ b/crates/sailcart-sender/src/socket.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Bytes that one read asks for, at most: so many are cleared for it.
@@ -17,6 +17,14 @@
 pub struct Socket(pub TcpStream);
 
 impl Socket {
+    /// All that was due on this connection has come, and what comes next is asked for first: so the next wait is for a new report, and
+    /// costs no call that finds nothing. Not where the peer may go on by itself.
+    pub fn nothing_is_due(&self) {
+        // Ends readiness as a read that found nothing would; the end of the peer's side stays known.
+        let ended = self.0.try_io(Interest::READABLE, || io::Result::<()>::Err(ErrorKind::WouldBlock.into()));
+        debug_assert!(ended.is_err());
+    }
+
     /// Both directions, to be used side by side.
     pub fn split(&mut self) -> (Reader<'_>, Writer<'_>) {
         (Reader(&self.0), Writer(&self.0))
