Laboratory: a soak that overlaps troubles of peers, processes, machines and links; its first find, red

`sailcart-lab soak`: 24 sender processes of the shipped binary under pages of faults, proxies on the links of clients, platform and endpoints, signals, bad peers; two groups of three troubles a run that share the middle of their time; a row of runs meets every pair of 18 kinds. Judged by the watcher, crashes, ignored clients, and the senders' invariants; a failing run keeps its schedule, logs, events and state folders, and is shrunk on demand. Where a folder fails, a delivery that its sender read is known to no next life (as behind a kill): the watcher allows its repeat, and still no second effect.

Cause: a notice waits behind the call before it, which is waited for up to a second.

--- a/crates/sailcart-lab/src/events.rs
+++ b/crates/sailcart-lab/src/events.rs
@@ -85,5 +85,8 @@
         Seen::Fell(gate) => json!({"ms": ms, "seen": "fell", "gate": gate.0}),
         Seen::SenderDown(sender) => json!({"ms": ms, "seen": "sender_down", "sender": sender.0}),
         Seen::SenderUp(sender) => json!({"ms": ms, "seen": "sender_up", "sender": sender.0}),
+        Seen::Folder { sender, fails } => {
+            json!({"ms": ms, "seen": "folder", "sender": sender.0, "fails": fails})
+        }
     }
 }
--- a/crates/sailcart-lab/src/lib.rs
+++ b/crates/sailcart-lab/src/lib.rs
@@ -1,7 +1,7 @@
 //! The laboratory: what the sender is measured with. An experiment (`experiment`) is drawn out (`plan`) and played
 //! with the module in simulated time (`simulated`) or with sender processes (`sockets`); the same receivers
 //! (`receivers`) answer in both, the same watcher (`watcher`) sees whether a rule breaks, and `results` says what
-//! came of it. `capacity` measures what a sender costs by size. Nothing here is reachable from the sender.
+//! came of it. `capacity` measures what a sender costs by size, `soak` overlaps troubles of peers, processes, machines and links. Nothing here is reachable from the sender.
 
 pub mod capacity;
 pub mod events;
@@ -13,5 +13,6 @@
 pub mod run;
 pub mod shipped;
 pub mod simulated;
+pub mod soak;
 pub mod sockets;
 pub mod watcher;
--- a/crates/sailcart-lab/src/main.rs
+++ b/crates/sailcart-lab/src/main.rs
@@ -9,7 +9,7 @@
 use sailcart_lab::plan::Plan;
 use sailcart_lab::policies::PolicyName;
 use sailcart_lab::results::{Outcome, compare};
-use sailcart_lab::{capacity, run, shipped, sockets};
+use sailcart_lab::{capacity, run, shipped, soak, sockets};
 
 /// The laboratory of sailcart: emulated receivers, load, a watcher of the rules, reports.
 #[derive(Parser)]
@@ -102,6 +102,8 @@
     },
     /// Measure what a sender costs by size, and hold it against the planned size
     Capacity(capacity::Options),
+    /// Overlap troubles of peers, processes, machines and links, run after run; 0 if all held, 1 if one failed
+    Soak(soak::Options),
     /// The experiments that are shipped
     List,
     /// Say in words what an experiment does
@@ -188,6 +190,7 @@
             print!("{}", capacity::run(&options).map_err(|fault| fault.0)?);
             Ok(true)
         }
+        Command::Soak(options) => soak::run(&options).map_err(|fault| fault.0),
         Command::List => {
             for (name, text) in shipped::ALL {
                 let experiment = experiment::read_text(text, &[]).map_err(|fault| fault.0)?;
--- a/crates/sailcart-lab/src/sockets/discovery.rs
+++ b/crates/sailcart-lab/src/sockets/discovery.rs
@@ -30,11 +30,13 @@
     addresses: Rc<[SocketAddr]>,
 }
 
-pub async fn open(shared: &Rc<SharedState>, addresses: &Rc<[SocketAddr]>) -> io::Result<Vec<SocketAddr>> {
+/// An agent for each sender. `addresses` has one list for each, or one for all.
+pub async fn open(shared: &Rc<SharedState>, addresses: &[Rc<[SocketAddr]>]) -> io::Result<Vec<SocketAddr>> {
     let mut all = Vec::new();
     for sender in 0..shared.plan.experiment.senders.count {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        all.push(listen(shared, addresses, SenderId(sender), listener)?);
+        let own = &addresses[sender % addresses.len()];
+        all.push(listen(shared, own, SenderId(sender), listener)?);
     }
     Ok(all)
 }
--- a/crates/sailcart-lab/src/sockets/mod.rs
+++ b/crates/sailcart-lab/src/sockets/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod discovery;
 mod http;
+mod machines;
 mod process;
 mod protocol;
 mod receiver;
@@ -19,11 +20,14 @@
 
 use crate::events::Log;
 use crate::experiment::{Fault, Mode, TroubleKind};
-use crate::plan::{Plan, SenderId};
+use crate::plan::{Plan, SenderId, chance};
 use crate::policies::PolicyName;
 use crate::results::Outcome;
-use process::SenderProcesses;
+use crate::soak::machine::{MachineTrouble, needs_links};
+use crate::soak::proxy::Proxy;
+use machines::{Links, Rig};
 pub use process::keep;
+use process::{Ground, SenderProcesses};
 use shared::SharedState;
 
 /// How long all senders may take to answer their first `PING`.
@@ -33,6 +37,10 @@
 /// From a sender's end to its next start.
 const RESTART: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(100);
+/// Streams of chance of the links, one for each.
+const CLIENT_LINKS: u64 = 1000;
+const PLATFORM_LINKS: u64 = 2000;
+const ENDPOINT_LINKS: u64 = 3000;
 
 fn fault(what: &str) -> impl Fn(std::io::Error) -> Fault + '_ {
     move |e| Fault(format!("{what}: {e}"))
@@ -48,20 +56,59 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(fault("runtime"))?;
     let program = process::find(program)?;
-    LocalSet::new().block_on(&runtime, play(plan.clone(), log, program, progress))
+    LocalSet::new().block_on(&runtime, play(plan.clone(), log, program, Strain::default(), progress))
+}
+
+/// What a soak adds: files that are kept, and troubles of machines and links.
+#[derive(Clone, Copy, Default)]
+struct Strain<'a> {
+    ground: Ground<'a>,
+    machine: &'a [MachineTrouble],
+}
+
+/// Plays a run of a soak, with its files in this folder.
+pub fn soak(
+    plan: &Plan,
+    log: Log,
+    program: Option<&Path>,
+    folder: &Path,
+    machine: &[MachineTrouble],
+) -> Result<Outcome, Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(fault("runtime"))?;
+    let program = process::find(program)?;
+    let strain = Strain { ground: Ground { folder: Some(folder), faults: true }, machine };
+    LocalSet::new().block_on(&runtime, play(plan.clone(), log, program, strain, &mut |_| {}))
 }
 
 async fn play(
     plan: Plan,
     log: Log,
     program: PathBuf,
+    strain: Strain<'_>,
     progress: &mut dyn FnMut(Duration),
 ) -> Result<Outcome, Fault> {
     let shared = SharedState::new(plan, log);
     let plan = shared.plan.clone();
     let addresses = receiver::open(&shared).await.map_err(fault("receivers"))?;
-    let discovery = discovery::open(&shared, &addresses).await.map_err(fault("discovery"))?;
-    let processes = SenderProcesses::new(&shared, program, &discovery, &addresses).await?;
+    let proxied = needs_links(strain.machine);
+    let endpoints = if proxied { endpoint_links(&shared, &addresses).await? } else { Vec::new() };
+    // By sender, where each has links of its own; one for all else.
+    let lists: Vec<Rc<[SocketAddr]>> = match endpoints.is_empty() {
+        true => vec![addresses.clone()],
+        false => endpoints.iter().map(|links| links.iter().map(|link| link.address).collect()).collect(),
+    };
+    let mut discovery = discovery::open(&shared, &lists).await.map_err(fault("discovery"))?;
+    let platform = if proxied { platform_links(&shared, &mut discovery).await? } else { Vec::new() };
+    let processes = SenderProcesses::new(&shared, program, &discovery, &lists, strain.ground).await?;
+    let mut links = Vec::new();
+    for (sender, (endpoints, platform)) in endpoints.into_iter().zip(platform).enumerate() {
+        let sender = SenderId(sender);
+        let rng = chance(plan.seed, CLIENT_LINKS + sender.0 as u64);
+        let clients = Proxy::open(processes.listens(sender), false, rng).await.map_err(fault("proxy"))?;
+        processes.put_front(sender, clients.address);
+        links.push(Links { clients, platform, endpoints });
+    }
     for sender in 0..plan.experiment.senders.count {
         processes.start(SenderId(sender)).await?;
     }
@@ -70,6 +117,7 @@
     }
     shared.begin();
     receiver::troubles(&shared);
+    Rc::new(Rig { shared: shared.clone(), processes: processes.clone(), links }).strike(strain.machine);
     spawn_local(processes.clone().watch());
     let clients = clients::Clients::new(&shared, &processes);
     spawn_local(clients.clone().hand_all_in());
@@ -92,6 +140,49 @@
     Ok(shared.finish(Mode::Sockets, PolicyName::Sailcart, cost))
 }
 
+/// For each sender a link to every address.
+async fn endpoint_links(
+    shared: &Rc<SharedState>,
+    addresses: &[SocketAddr],
+) -> Result<Vec<Vec<Rc<Proxy>>>, Fault> {
+    let mut all = Vec::new();
+    for sender in 0..shared.plan.experiment.senders.count as u64 {
+        let mut links: Vec<Rc<Proxy>> = Vec::new();
+        for (at, address) in addresses.iter().enumerate() {
+            // Those of a replaced endpoint's address stand there already.
+            let same = addresses[..at].iter().position(|other| other == address);
+            let link = match same {
+                Some(same) => links[same].clone(),
+                None => {
+                    let rng = chance(
+                        shared.plan.seed,
+                        ENDPOINT_LINKS + sender * addresses.len() as u64 + at as u64,
+                    );
+                    Proxy::open(*address, true, rng).await.map_err(fault("proxy"))?
+                }
+            };
+            links.push(link);
+        }
+        all.push(links);
+    }
+    Ok(all)
+}
+
+/// For each sender a link to discovery, at which it is reached from then on.
+async fn platform_links(
+    shared: &Rc<SharedState>,
+    discovery: &mut [SocketAddr],
+) -> Result<Vec<Rc<Proxy>>, Fault> {
+    let mut links = Vec::new();
+    for (sender, address) in discovery.iter_mut().enumerate() {
+        let rng = chance(shared.plan.seed, PLATFORM_LINKS + sender as u64);
+        let link = Proxy::open(*address, false, rng).await.map_err(fault("proxy"))?;
+        *address = link.address;
+        links.push(link);
+    }
+    Ok(links)
+}
+
 /// Kills, restarts in waves and reloads, each at its time.
 fn lives(shared: &Rc<SharedState>, processes: &Rc<SenderProcesses>) {
     for struck in shared.plan.struck.iter().filter(|struck| struck.trouble.kind == TroubleKind::Kill) {
--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -134,6 +134,11 @@
     /// A sender died, was stopped or is back; nothing is overdue between the two.
     SenderDown(SenderId),
     SenderUp(SenderId),
+    /// A sender's state folder takes nothing, or is well again.
+    Folder {
+        sender: SenderId,
+        fails: bool,
+    },
 }
 
 /// What a sender heard of a call.
@@ -274,6 +279,7 @@
                 record.down.remove(sender);
                 self.single.back(record, *sender);
             }
+            Seen::Folder { sender, fails } => self.single.folder(*sender, *fails),
         }
     }
 
--- a/crates/sailcart-sender/tests/notices.rs
+++ b/crates/sailcart-sender/tests/notices.rs
@@ -2,9 +2,10 @@
 
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[allow(dead_code)] // other tests use the rest of it
 mod peer;
@@ -77,3 +78,35 @@
         "+OK"
     );
 }
+
+/// The platform takes notices and its answers never come. A notice that becomes due meanwhile does not wait behind the calls that are
+/// out: a packet whose end is told 300 ms late is lost.
+#[test]
+fn a_notice_does_not_wait_behind_one_that_is_not_acknowledged() {
+    const PACKETS: usize = 6;
+    let mut world = World::new("notice-behind", |_, _| answer("200 OK", "", ""));
+    world.restart_with(&[(r#""aim_ms": 3000"#, r#""aim_ms": 2000"#)]);
+    world.platform.list(&[entry("e", world.endpoint, 7, "Terminating")]);
+    world.until("the drain", |world| world.log().contains("discovery: version 2"));
+    world.platform.mute.store(true, Ordering::SeqCst);
+    for number in 0..PACKETS {
+        let id = format!("p{number}-");
+        assert_eq!(
+            put(world.listen, &id, &format!("c=notice,t=acme,d=20000,k={id},dest=7"), "").expect("an answer"),
+            "+OK"
+        );
+        thread::sleep(Duration::from_millis(370)); // so that they end at each phase of the calls
+    }
+    for number in 0..PACKETS {
+        world.until("its end", |world| world.log().matches("ends Dismissed").count() > number);
+        let ended = Instant::now();
+        world.until("its notice", |world| {
+            world.notices().iter().any(|line| line.contains(&format!("p{number}-")))
+        });
+        let waited = ended.elapsed();
+        assert!(
+            waited < Duration::from_millis(300),
+            "notice {number} came {waited:?} after its packet's end"
+        );
+    }
+}
