A notice that becomes due goes at once, beside calls that the platform does not answer

Ruled out: its record (written at once), the link (what goes up was not held; the notice was heard when its call was made). Change: up to four calls, each with notices that no other has with it; the further ones begin only where what is due has waited 50 ms beside a call that is out, so that an ordinary platform sees the one connection that it saw before.

--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -39,6 +39,8 @@
     bell: Notify,
     /// Notices are owed.
     pub notices: Notify,
+    /// A call with some of them goes out.
+    pub notices_out: Notify,
     /// The platform has some of them.
     heard: Notify,
 }
@@ -53,8 +55,9 @@
     pub fn new(terms: sailcart::Terms, seed: u64, names: Names, ledger: Ledger) -> Self {
         let desk = Desk::new(&terms, names, ledger);
         let within = Within { sender: Sender::new(terms, seed), desk, stopped: false };
-        let (bell, notices, heard) = (Notify::new(), Notify::new(), Notify::new());
-        Exchange { within: RefCell::new(within), bell, notices, heard }
+        let (bell, heard) = (Notify::new(), Notify::new());
+        let (notices, notices_out) = (Notify::new(), Notify::new());
+        Exchange { within: RefCell::new(within), bell, notices, notices_out, heard }
     }
 
     /// Reads the notices that are owed.
