--- a/crates/sailcart-sender/tests/own_faults.rs
+++ b/crates/sailcart-sender/tests/own_faults.rs
@@ -109,3 +109,22 @@
         world.until("its notice", |world| world.notices().iter().any(|line| line.contains("a1")));
     }
 }
+
+/// No socket can be had for the first second of a start: it is waited for, and no process ends for it.
+#[test]
+fn a_start_whose_sockets_fail_for_a_moment_comes_up() {
+    for errno in [EMFILE, ENFILE, ENOBUFS] {
+        let mut world = World::new(&format!("own-listen-{errno}"), |_, _| answer("200 OK", "", ""));
+        let page = world.with_faults();
+        world.kill();
+        page.share((Word::Socket, errno), (Word::SocketPerMille, 1000)).expect("a page");
+        world.launch(None);
+        sleep(Duration::from_secs(1));
+        assert!(page.count(Count::Socket) > 0, "no socket was to be had");
+        page.clear().expect("a page");
+        world.until("it answers", |world| say(world.listen, PING).is_ok());
+        let said = put(world.listen, "a1", "c=notice,t=acme,d=8000,k=a1,dest=7", "hello").expect("an answer");
+        assert_eq!(said, "+OK");
+        world.until("its call", |world| world.came() == ["a1"]);
+    }
+}
--- a/crates/sailcart-sender/tests/peer/moments.rs
+++ b/crates/sailcart-sender/tests/peer/moments.rs
@@ -37,6 +37,9 @@
         let mut command = Command::new("sh");
         command.args(["-c", script, &limit, env!("CARGO_BIN_EXE_sailcart"), "serve", "--config"]);
         command.arg(file).env("RUST_LOG", "debug").stderr(log.expect("a log"));
+        if let Some(page) = &self.page {
+            command.envs(page.environment(sailcart_shim::library().expect("the shim")));
+        }
         self.sender = Some(command.spawn().expect("the sender starts"));
     }
 
