A start waits for a socket that the machine does not have just now

Cause: life/start.rs bind returned at the first error but AddrInUse. Change: errors of this machine (machine.rs) are tried again every 25 ms, for 25 s at most; an address that is not this machine's stays a refused configuration. The laboratory starts a sender that ended by itself anew and counts it once: it had counted one every 100 ms. Measured: the red test green for EMFILE, ENFILE and ENOBUFS. Same shape looked at: runtime and signals ask for descriptors at the start too (epoll, a pair of sockets); no call of the terms fails there, so they stay as they are.

--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -248,6 +248,20 @@
         }
     }
 
+    /// Starts a sender anew that ended by itself.
+    async fn revive(&self, sender: SenderId) {
+        let process = &self.processes[sender.0];
+        process.wanted.set(false);
+        process.taking.set(false);
+        self.shared.see(Seen::SenderDown(sender));
+        *process.child.borrow_mut() = None;
+        process.end_life();
+        sleep(super::RESTART).await;
+        if self.start(sender).await.is_ok() && self.ready(sender, Duration::from_secs(10)).await.is_ok() {
+            self.shared.see(Seen::SenderUp(sender));
+        }
+    }
+
     async fn ended(&self, sender: SenderId, within: Duration) {
         let end = Instant::now() + within;
         while Instant::now() < end {
@@ -275,7 +289,7 @@
                 if let Some(status) = ended {
                     log::error!("sender {at}: code=crashed {status}");
                     self.shared.tally.borrow_mut().count(Count::Crashes);
-                    self.restart(SenderId(at), None, Duration::from_millis(600)).await;
+                    self.revive(SenderId(at)).await;
                 }
             }
         }
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -17,6 +17,7 @@
 use crate::exchange::Exchange;
 use crate::life::reload::{Follows, Read, reload};
 use crate::life::{recovery, stop};
+use crate::machine;
 use crate::memory::ledger::Ledger;
 use crate::memory::pool::Pool;
 use crate::platform;
@@ -25,6 +26,10 @@
 /// How long a port that is in use is waited for.
 const LONGEST_BIND: Duration = Duration::from_secs(4);
 
+/// How long a start waits for a socket that this machine does not have, and the pause between two tries.
+const LONGEST_OWN_FAULT: Duration = Duration::from_secs(25);
+const OWN_FAULT_PAUSE: Duration = Duration::from_millis(25);
+
 /// Runs a sender on this thread until it is told to end.
 pub fn serve(mandate: Mandate, read: Read) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -86,17 +91,30 @@
     Ok(())
 }
 
-/// The life before may not have let go of its port yet. Nine in ten have ten seconds to be ready.
+/// The life before may not have let go of its port yet, and the machine may be out of sockets for a moment. Nine in ten have ten
+/// seconds to be ready.
 async fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     let start = Instant::now();
+    let mut told = None;
     loop {
-        match TcpListener::bind(listen).await {
-            Err(fault) if fault.kind() == io::ErrorKind::AddrInUse && start.elapsed() < LONGEST_BIND => {
-                log::warn!("{listen} is waited for, code=in_use");
-                sleep(LONGEST_BIND / 16).await;
-            }
-            bound => return bound,
+        let fault = match TcpListener::bind(listen).await {
+            Ok(listener) => return Ok(listener),
+            Err(fault) => fault,
+        };
+        let (code, longest, pause) = match fault.kind() {
+            io::ErrorKind::AddrInUse => ("in_use", LONGEST_BIND, LONGEST_BIND / 16),
+            // An address that is not this machine's will not become so.
+            io::ErrorKind::AddrNotAvailable => return Err(fault),
+            _ if machine::is_own_fault(&fault) => ("own_fault", LONGEST_OWN_FAULT, OWN_FAULT_PAUSE),
+            _ => return Err(fault),
+        };
+        if start.elapsed() >= longest {
+            return Err(fault);
+        }
+        if told.replace(code) != Some(code) {
+            log::warn!("{listen} is waited for, code={code} {fault}");
         }
+        sleep(pause).await;
     }
 }
 
