--- a/crates/sailcart-lab/src/watcher/order.rs
+++ b/crates/sailcart-lab/src/watcher/order.rs
@@ -39,6 +39,10 @@
 
     pub fn came(&mut self, record: &mut Record, call: &Call) {
         for packet in &call.packets {
+            // Its client heard nothing, so nobody outside knows its place; what it does counts for nothing.
+            if record.packets.get(packet).is_some_and(|kept| kept.abandoned) {
+                continue;
+            }
             let Some(turn) = self.of.get(packet).and_then(|of| self.turns.get(of)) else { continue };
             // Earlier ones that clients had heard of as taken when this call was on its way.
             let before = turn.queue.iter().take_while(|other| *other != packet).find(|other| {
