--- a/crates/sailcart-lab/src/soak/experiment.rs
+++ b/crates/sailcart-lab/src/soak/experiment.rs
@@ -104,6 +104,11 @@
     experiment.load.rate = rate;
     experiment.rules = Rules { drain_grace: DRAIN_GRACE, ..experiment.rules };
     experiment.troubles = schedule.iter().filter_map(trouble).collect();
+    // An endpoint is replaced once: a second replacement strikes the other endpoint of each destination.
+    let replaced = experiment.troubles.iter_mut().filter(|trouble| trouble.kind == TroubleKind::Replace);
+    for (nth, trouble) in replaced.enumerate() {
+        trouble.endpoint = Some(1 - nth % 2);
+    }
     experiment
 }
 
