A watch that ends at once with nothing new is opened again after 50 ms

Cause: platform/follower.rs opened the next watch at once after any answer that counted. One with news is followed at once. Also a story of the module for Outcome::Unsent: ten in a row take no dispatch, the lane rests 20 to 320 ms, others are called meanwhile.

--- a/crates/sailcart-sender/src/platform/follower.rs
+++ b/crates/sailcart-sender/src/platform/follower.rs
@@ -12,7 +12,7 @@
 use super::connection::{Limits, Place, Wire, is_move};
 use crate::caller::{Sink, TooLarge};
 use crate::exchange::{Exchange, ListTooLarge, StagedList};
-use crate::rhythm::{Failure, Rhythm};
+use crate::rhythm::{self, Failure, Rhythm};
 use crate::wire::http::Head;
 use crate::wire::list_reader::{ListReader, MOST_ENTRY, Summary};
 use crate::wire::{MOST_BODY, discovery, http};
@@ -20,6 +20,13 @@
 /// A list that comes more slowly is given up, in bytes a second.
 const LEAST_RATE: u32 = 4_000_000;
 
+/// What a call brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum News {
+    Some,
+    None,
+}
+
 /// Why a call brought no list that counts.
 #[derive(Debug)]
 enum NoList {
@@ -152,16 +159,23 @@
             if self.whole_at.is_some_and(|at| at <= Instant::now()) {
                 self.from = None;
             }
-            let fault = self.ask().await.err();
+            let start = Instant::now();
+            let asked = self.ask().await;
             heard.take().map(|heard| heard.send(()));
-            if let Some(fault) = fault {
-                self.fail(fault).await;
+            match asked {
+                Ok(News::Some) => {}
+                Ok(News::None) => {
+                    // One that ends at once is opened again after a pause all the same: well within the time in which it goes on.
+                    let pause = rhythm::LEAST.saturating_sub(start.elapsed());
+                    self.pause(pause).await;
+                }
+                Err(fault) => self.fail(fault).await,
             }
         }
     }
 
-    /// One call; a list that it brings is in force then.
-    async fn ask(&mut self) -> Result<(), NoList> {
+    /// One call; a list that it brings is in force then. Tells whether it brought anything.
+    async fn ask(&mut self) -> Result<News, NoList> {
         let (path, within) = self.call();
         let call = http::get(&self.wire.address().to_string(), &path);
         let most = self.listed.saturating_mul(MOST_ENTRY);
@@ -179,11 +193,12 @@
         exchange.fits(&intake.staged, list.whole)?;
         // Also when nothing changed: what left the list long ago is forgotten on such news.
         exchange.commit(intake.staged, list.whole).await;
-        if list.whole || list.read > 0 {
+        let news = if list.read > 0 { News::Some } else { News::None };
+        if list.whole || news == News::Some {
             log::info!("discovery: version {}, {} entries", list.version, list.read);
         }
         self.is_in_force(&list);
-        Ok(())
+        Ok(news)
     }
 
     /// What the next call asks for, and how long its answer is waited for.
--- a/crates/sailcart-sender/src/rhythm.rs
+++ b/crates/sailcart-sender/src/rhythm.rs
@@ -11,7 +11,7 @@
 /// The protocol's own term.
 pub const TOLD: Duration = Duration::from_secs(6);
 /// The least pause before a call is made again.
-const LEAST: Duration = Duration::from_millis(50);
+pub const LEAST: Duration = Duration::from_millis(50);
 /// A notice that is owed at the end of a packet's time is late 300 ms after it: its call is made again before that.
 const NOTICE: Duration = Duration::from_millis(250);
 /// The least pause before a list that was too large is asked for again; the row begins with a span of twice as much.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -987,3 +987,37 @@
     };
     assert_eq!(opens(true), opens(false));
 }
+
+/// A journal that cannot be written, or ports that ran out: what was not sent is no dispatch, and says nothing of its destination.
+#[test]
+fn a_call_that_this_machine_could_not_send_is_no_dispatch() {
+    let mut play = Play::new(terms(), 2, 0, 100.0);
+    let packet = play.take(1, 0, 0, None)[0];
+    play.round();
+    // Far more often than it may be dispatched; the lane rests in between, longer with each in a row.
+    let mut rests = Vec::new();
+    for _ in 0..10 {
+        play.back(packet, Outcome::Unsent);
+        let start = play.now;
+        while play.out().is_empty() {
+            play.after(1);
+        }
+        rests.push(play.now - start);
+    }
+    assert!(rests[0] >= ms(20) && rests.is_sorted(), "{rests:?}");
+    assert!(rests[9] <= ms(321), "{rests:?}");
+    // Others are called meanwhile, and the packet has all its tries left.
+    play.back(packet, Outcome::Unsent);
+    let other = play.take(1, 1, 0, None)[0];
+    play.round();
+    assert_eq!(play.out(), [other]);
+    play.all_back(Outcome::Done);
+    for _ in 0..3 {
+        play.after(2000);
+        assert_eq!(play.out(), [packet]);
+        play.back(packet, Outcome::Error);
+    }
+    assert_eq!(play.asked.answers, []);
+    play.after(1);
+    assert_eq!(play.asked.answers.len(), 1, "three dispatches that went are the most");
+}
