A configuration is read beside the thread that serves; a stop answers what no sync has reached

Cause: life/reload.rs read and checked the file, its list included, on the serving thread. Change: on a thread of its own; only what is followed comes back; a stop does not wait for it. A stop whose syncs fail throughout now answers whom it has read (`answered_unsynced`): no answer is a lost request, and what stands is tried by the next life; undone by hand the new test of it fails.

--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -99,6 +99,16 @@
         self.bell.notify_one();
     }
 
+    /// At the end of a stop: clients whose packets stand in the folder, and not yet beyond a loss of power, hear so all the same. No
+    /// answer would lose them, and the next life tries what stands.
+    pub fn answer_unsynced(&self) {
+        let desk = &mut self.within.borrow_mut().desk;
+        if !desk.answers.is_empty() || !desk.ends.is_empty() {
+            log::warn!("journal: code=answered_unsynced {} answers", desk.answers.len() + desk.ends.len());
+            desk.tell_round();
+        }
+    }
+
     /// A round whenever something came in or the sender asked for one, but not too often.
     pub async fn rounds(self: Rc<Self>, pace: Duration, endpoints: Rc<Endpoints>) {
         loop {
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -33,7 +33,9 @@
 /// Runs a sender on this thread until it is told to end.
 pub fn serve(mandate: Mandate, read: Read) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(mandate, read))
+    let ended = LocalSet::new().block_on(&runtime, run(mandate, read));
+    runtime.shutdown_background(); // a configuration that is being read holds no stop up
+    ended
 }
 
 async fn run(mandate: Mandate, read: Read) -> io::Result<()> {
--- a/crates/sailcart-sender/src/life/stop.rs
+++ b/crates/sailcart-sender/src/life/stop.rs
@@ -50,6 +50,7 @@
     while StillOwed::now(exchange, clients) != StillOwed::default() && start.elapsed() < LONGEST - LAST {
         sleep(LOOK).await;
     }
+    exchange.answer_unsynced();
     clients.stop_accepting();
     if let Err(fault) = empty(clients, accepting, start).await {
         log::warn!("clients: code=not_accepted {fault}");
--- a/crates/sailcart-sender/src/main.rs
+++ b/crates/sailcart-sender/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use sailcart_sender::{config, inspect, life};
@@ -85,7 +86,7 @@
         Command::Serve(file) => {
             let read = read(file);
             let mandate = read().map_err(|fault| fault.0)?;
-            return life::start::serve(mandate, Box::new(read)).map_err(|fault| fault.to_string());
+            return life::start::serve(mandate, Arc::new(read)).map_err(|fault| fault.to_string());
         }
         Command::Check(file) => config::summary(&read(file)().map_err(|fault| fault.0)?),
         Command::Config(what) => configuration(what)?,
--- a/crates/sailcart-sender/tests/failing_folder.rs
+++ b/crates/sailcart-sender/tests/failing_folder.rs
@@ -10,7 +10,7 @@
 
 use peer::world::World;
 use peer::{Answer, Call, answer, entry, put};
-use sailcart_shim::{Count, EIO, ENOSPC, Page};
+use sailcart_shim::{Count, EIO, ENOSPC, Page, Word};
 
 /// A sender that runs under a page of faults.
 fn world(story: &str, reply: impl Fn(usize, &Call) -> Answer + Send + Sync + 'static) -> (World, Arc<Page>) {
@@ -164,3 +164,54 @@
         );
     }
 }
+
+/// Where syncs are asked for, they fail for a second and a half: the process goes on, nobody hears `+OK` of what is not synced, and all
+/// that was taken on is delivered once the device is well, also by the next life.
+#[test]
+fn a_sync_that_fails_ends_no_process() {
+    for sync in ["round", "each"] {
+        let (mut world, page) = world(&format!("failing-sync-{sync}"), |_, _| answer("200 OK", "", ""));
+        world.restart_with(&[(r#""disk_mb": 3 "#, &format!(r#""disk_mb": 3, "sync": "{sync}" "#))]);
+        assert_eq!(put_for(&world, "a1", 20_000), "+OK");
+        world.until("its call", |world| world.came() == ["a1"]);
+        page.set(Word::FileSync, EIO.into()).expect("a page");
+        let listen = world.listen;
+        let client = std::thread::spawn(move || {
+            put(listen, "b2", "c=notice,t=acme,d=20000,k=b2,dest=7", "hello").unwrap_or_default()
+        });
+        sleep(Duration::from_millis(1500));
+        assert!(page.count(Count::FileSync) > 0, "syncs failed");
+        assert!(!world.came().contains(&"b2".to_owned()), "no call that is not recorded for good");
+        let heard_early = client.is_finished();
+        page.clear().expect("a page");
+        let said = client.join().expect("no panic");
+        assert!(!heard_early || said.starts_with("-BUSY"), "+OK of what is not synced");
+        assert!(said == "+OK" || said.starts_with("-BUSY"), "{said}");
+        world.until("room", |world| put_for(world, "c3", 20_000) == "+OK");
+        world.until("its call", |world| world.came().contains(&"c3".to_owned()));
+        world.until("b2", |world| said != "+OK" || world.came().contains(&"b2".to_owned()));
+        assert!(!world.log().contains("the sender ends"), "{}", world.log());
+        world.until_folder_shows("0 packets not over, 0 notices owed");
+        world.kill();
+        world.start();
+        assert_eq!(world.came().iter().filter(|id| *id == "b2").count(), usize::from(said == "+OK"));
+    }
+}
+
+/// The device fails its syncs through the whole of a stop: who was read hears of it, and the next life tries what stands.
+#[test]
+fn a_stop_over_failing_syncs_answers_whom_it_has_read() {
+    let (mut world, page) = world("failing-sync-stop", |_, _| answer("200 OK", "", ""));
+    world.restart_with(&[(r#""disk_mb": 3 "#, r#""disk_mb": 3, "sync": "round" "#)]);
+    page.set(Word::FileSync, EIO.into()).expect("a page");
+    let listen = world.listen;
+    let client = std::thread::spawn(move || {
+        put(listen, "a1", "c=notice,t=acme,d=20000,k=a1,dest=7", "hello").unwrap_or_default()
+    });
+    world.until_folder_shows("packet a1: ");
+    assert!(world.terminate() < Duration::from_millis(3700), "it ends before it is killed");
+    assert_eq!(client.join().expect("no panic"), "+OK", "{}", world.log());
+    page.clear().expect("a page");
+    world.start();
+    world.until("its call", |world| world.came() == ["a1"]);
+}
