Laboratory: one packet's story from a kept run; folders that fail without a break

`sailcart-lab story FOLDER PACKET` joins what was seen outside with the lines of all senders about a packet, by its id and by the number that each sender gave it. In a soak, one sender in three whose folder fails has no well moment in between.

--- a/crates/sailcart-lab/src/main.rs
+++ b/crates/sailcart-lab/src/main.rs
@@ -104,6 +104,8 @@
     Capacity(capacity::Options),
     /// Overlap troubles of peers, processes, machines and links, run after run; 0 if all held, 1 if one failed
     Soak(soak::Options),
+    /// One packet's life, from the folder of a run that a soak kept
+    Story { folder: PathBuf, packet: u64 },
     /// The experiments that are shipped
     List,
     /// Say in words what an experiment does
@@ -190,6 +192,13 @@
             print!("{}", capacity::run(&options).map_err(|fault| fault.0)?);
             Ok(true)
         }
+        Command::Story { folder, packet } => {
+            print!(
+                "{}",
+                soak::story::story(&folder, packet).map_err(|e| format!("{}: {e}", folder.display()))?
+            );
+            Ok(true)
+        }
         Command::Soak(options) => soak::run(&options).map_err(|fault| fault.0),
         Command::List => {
             for (name, text) in shipped::ALL {
--- a/crates/sailcart-lab/src/soak/machine.rs
+++ b/crates/sailcart-lab/src/soak/machine.rs
@@ -83,7 +83,12 @@
     let mut one = |of: &[i32]| of.choose(rng).copied().unwrap_or(EIO);
     Some(match kind {
         SoakKind::Pause => What::Pause(ms(120)),
-        SoakKind::Folder => What::Folder { errno: one(&[ENOSPC, EIO]), window: ms(400), period: ms(1500) },
+        SoakKind::Folder => {
+            let errno = one(&[ENOSPC, EIO]);
+            // For one sender in three without a break.
+            let period = if rng.random_ratio(1, 3) { ms(0) } else { ms(1500) };
+            What::Folder { errno, window: ms(400), period }
+        }
         SoakKind::ShortCalls => What::ShortCalls { broken: one(&[ETIMEDOUT, EHOSTUNREACH]) },
         SoakKind::OwnFaults => What::OwnFaults {
             accept: one(&[ECONNABORTED, ENFILE, ENOBUFS, EMFILE]),
--- a/crates/sailcart-lab/src/soak/mod.rs
+++ b/crates/sailcart-lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 pub mod machine;
 pub mod proxy;
 pub mod schedule;
+pub mod story;
 pub mod verdict;
 
 use std::collections::BTreeMap;
