--- a/crates/sailcart-sender/tests/crossed_ends.rs
+++ b/crates/sailcart-sender/tests/crossed_ends.rs
@@ -198,3 +198,30 @@
         assert_eq!(world.notices(), [""; 0]);
     }
 }
+
+/// A client that goes at each point of a command, by a close or a reset: nothing of it is taken on, no place stays taken, and the same id,
+/// whole, on another connection is a packet like any other.
+#[test]
+fn a_client_that_goes_within_a_command_leaves_nothing_behind() {
+    let world = delivers("half-command");
+    let words = command("a1", &fields("a1", USUAL), "hello");
+    for at in (1..words.len()).step_by(3) {
+        for leaves in [Leaves::Closed, Leaves::Reset] {
+            let mut client = connect(&world);
+            client.write_all(&words.as_bytes()[..at]).expect("room");
+            if matches!(leaves, Leaves::Reset) {
+                SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("a reset");
+            }
+        }
+    }
+    let ended = |world: &World| {
+        let codes = ["code=cut", "code=reset", "code=closed", "code=broken"];
+        codes.iter().map(|code| world.log().matches(code).count()).sum::<usize>()
+    };
+    let all = 2 * (1..words.len()).step_by(3).count();
+    world.until("all connections have ended", |world| ended(world) >= all);
+    assert!(world.folder_shows().contains("0 packets not over, 0 notices owed"), "{}", world.folder_shows());
+    assert_eq!(world.came(), [""; 0]);
+    assert_eq!(put(world.listen, "a1", &fields("a1", USUAL), "hello").expect("an answer"), "+OK");
+    world.until("its call", |world| world.came() == ["a1"]);
+}
--- a/crates/sailcart-sender/tests/loops.rs
+++ b/crates/sailcart-sender/tests/loops.rs
@@ -32,3 +32,21 @@
     assert!(more > 5, "it is asked all the same");
     assert!(more < 30, "asked {more} times in a second");
 }
+
+/// A list with many entries of kinds that the settings do not know: a few lines and their number, not a line each.
+#[test]
+fn entries_of_unknown_kinds_do_not_flood_the_log() {
+    const ENTRIES: usize = 500;
+    let world = World::new("unknown-kinds", |_, _| answer("200 OK", "", ""));
+    let line = |number: usize| {
+        let name = format!("u{number}");
+        entry(&name, world.endpoint, 7, "Ready").replace(r#""machineType":"k""#, r#""machineType":"other""#)
+    };
+    let mut all: Vec<String> = (0..ENTRIES).map(line).collect();
+    all.push(entry("e", world.endpoint, 7, "Ready"));
+    world.platform.list(&all);
+    world.until("the list", |world| world.log().contains("discovery: version 2"));
+    let lines = world.log().matches("unknown kind").count();
+    assert!((1..6).contains(&lines), "{lines} lines");
+    assert!(world.log().contains("500 entries"), "their number is told");
+}
