--- a/crates/sailcart-sender/src/exchange/lists.rs
+++ b/crates/sailcart-sender/src/exchange/lists.rs
@@ -65,7 +65,7 @@
         let desk = &mut self.within.borrow_mut().desk;
         let kind = desk.names.kinds.get(&entry.kind).and_then(|kind| u16::try_from(*kind).ok());
         let Some(kind) = kind else {
-            log::warn!("list: endpoint {} passed over, unknown kind {}", entry.name, entry.kind);
+            staged.note_unknown(&entry.name, &entry.kind);
             return staged.keep(&mut desk.directory, &entry.name);
         };
         let place = Place { address: entry.address, destination: DestinationId(entry.destination), kind };
@@ -79,6 +79,7 @@
             log::error!("list: given up, code=superseded");
             return None;
         }
+        staged.tell_unknown();
         let fits = staged.fits(&desk.directory, whole);
         if let Err(fault) = fits {
             log::error!("list: refused, code=too_large {fault}");
--- a/crates/sailcart-sender/src/exchange/staged.rs
+++ b/crates/sailcart-sender/src/exchange/staged.rs
@@ -82,8 +82,13 @@
     added: usize,
     /// Lines that it tells the decision module at most, beside what a whole list removes.
     pub(super) tells: usize,
+    /// Lines of kinds that the settings do not know.
+    unknown: usize,
 }
 
+/// Lines of unknown kinds that the log tells of one by one.
+const UNKNOWN_TOLD: usize = 3;
+
 impl StagedList {
     /// Begins a list after which at most so many endpoints may be held.
     pub fn new(directory: &mut Directory, most: usize) -> Self {
@@ -100,6 +105,22 @@
             drained: 0,
             added: 0,
             tells: 0,
+            unknown: 0,
+        }
+    }
+
+    /// A line of a kind that the settings do not know is passed over. The log has the first few of a list.
+    pub(super) fn note_unknown(&mut self, name: &str, kind: &str) {
+        self.unknown += 1;
+        if self.unknown <= UNKNOWN_TOLD {
+            log::warn!("list: endpoint {name} passed over, unknown kind {kind}");
+        }
+    }
+
+    /// How many there were, where the log has not told of each.
+    pub(super) fn tell_unknown(&self) {
+        if self.unknown > UNKNOWN_TOLD {
+            log::warn!("list: {} entries passed over, unknown kind", self.unknown);
         }
     }
 
