--- a/crates/sailcart-sender/tests/clock_steps.rs
+++ b/crates/sailcart-sender/tests/clock_steps.rs
@@ -1,7 +1,6 @@
 //! The machine's wall clock is stepped, between two processes or within one, while its monotonic clock runs on: windows, deadlines and
 //! waits are spans of real time.
 
-use std::sync::Arc;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -18,15 +17,6 @@
 const WINDOW: &str = r#""dedup_window_ms": 25000"#;
 const SHORT_WINDOW: &str = r#""dedup_window_ms": 1000"#;
 
-fn world(story: &str, reply: impl Fn(usize, &Call) -> Answer + Send + Sync + 'static) -> (World, Arc<Page>) {
-    let mut world = World::new(story, reply);
-    let page = world.with_faults();
-    world.kill();
-    world.start();
-    world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
-    (world, page)
-}
-
 fn put_for(world: &World, id: &str, span_ms: u32) -> String {
     put(world.listen, id, &format!("c=notice,t=acme,d={span_ms},k={id},dest=7"), "hello").expect("an answer")
 }
@@ -62,7 +52,7 @@
 fn no_repeat_goes_after_its_window_whatever_the_wall_clock_says() {
     for within in [false, true] {
         for_each_step("window-over", within, |story, step| {
-            let (mut world, page) = world(story, hangs_once);
+            let (mut world, page) = World::under_faults(story, hangs_once);
             world.restart_with(&[(WINDOW, SHORT_WINDOW)]);
             assert_eq!(put_for(&world, "a1", 20_000), "+OK");
             world.until("its call", |world| world.came() == ["a1"]);
@@ -82,7 +72,7 @@
 fn what_may_go_again_is_not_given_up_for_a_step() {
     for within in [false, true] {
         for_each_step("window-open", within, |story, step| {
-            let (mut world, page) = world(story, hangs_once);
+            let (mut world, page) = World::under_faults(story, hangs_once);
             assert_eq!(put_for(&world, "a1", 20_000), "+OK");
             world.until("its call", |world| world.came() == ["a1"]);
             step(&page, true);
@@ -99,7 +89,7 @@
 /// Taken on and untried behind a told wait: the next life tries both, as the restart ends the wait.
 fn what_was_taken_on_and_not_tried_is_tried_after_a_step() {
     for_each_step("untried", false, |story, step| {
-        let (mut world, page) = world(story, |number, _| match number {
+        let (mut world, page) = World::under_faults(story, |number, _| match number {
             0 => answer("429 Too Many Requests", "Retry-After: 2.0\r\n", ""),
             _ => answer("200 OK", "", ""),
         });
@@ -124,8 +114,9 @@
 fn a_deadline_is_a_span_of_real_time() {
     for within in [false, true] {
         for_each_step("deadline", within, |story, step| {
-            let (mut world, page) =
-                world(story, |_, _| answer("429 Too Many Requests", "Retry-After: 1.9\r\n", ""));
+            let (mut world, page) = World::under_faults(story, |_, _| {
+                answer("429 Too Many Requests", "Retry-After: 1.9\r\n", "")
+            });
             let start = Instant::now();
             assert_eq!(put_for(&world, "a1", 5000), "+OK");
             world.until("its wait", |world| world.log().contains("packet a1 from"));
--- a/crates/sailcart-sender/tests/own_faults.rs
+++ b/crates/sailcart-sender/tests/own_faults.rs
@@ -24,11 +24,8 @@
 #[test]
 fn a_connect_that_fails_for_this_machine_is_no_dispatch() {
     for errno in [EADDRNOTAVAIL, ENOBUFS, ENETUNREACH, EMFILE] {
-        let mut world = World::new(&format!("own-connect-{errno}"), |_, _| answer("200 OK", "", ""));
-        let page = world.with_faults();
-        world.kill();
-        world.start();
-        world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
+        let (world, page) =
+            World::under_faults(&format!("own-connect-{errno}"), |_, _| answer("200 OK", "", ""));
         page.share((Word::Connect, errno), (Word::ConnectPerMille, 1000)).expect("a page");
         let said = put(world.listen, "a1", "c=notice,t=acme,d=8000,k=a1,dest=7", "hello").expect("an answer");
         assert_eq!(said, "+OK");
@@ -49,10 +46,8 @@
 #[test]
 fn accepts_that_fail_for_a_moment_lose_nobody() {
     for errno in [ECONNABORTED, ENFILE, ENOBUFS] {
-        let mut world = World::new(&format!("own-accept-{errno}"), |_, _| answer("200 OK", "", ""));
-        let page = world.with_faults();
-        world.kill();
-        world.start();
+        let (mut world, page) =
+            World::under_faults(&format!("own-accept-{errno}"), |_, _| answer("200 OK", "", ""));
         page.share((Word::Accept, errno), (Word::AcceptPerMille, 500)).expect("a page");
         for _ in 0..40 {
             assert_eq!(say(world.listen, PING).expect("an answer"), "+PONG");
@@ -86,11 +81,8 @@
 #[test]
 fn a_platform_that_cannot_be_called_is_not_asked_without_a_pause() {
     for errno in [EINTR, EMFILE] {
-        let mut world = World::new(&format!("own-platform-{errno}"), |_, _| answer("200 OK", "", ""));
-        let page = world.with_faults();
-        world.kill();
-        world.start();
-        world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
+        let (world, page) =
+            World::under_faults(&format!("own-platform-{errno}"), |_, _| answer("200 OK", "", ""));
         page.share((Word::Connect, errno), (Word::ConnectPerMille, 1000)).expect("a page");
         // What stands is cut, so that both are to connect again; a notice is owed as well.
         world.platform.list(&[entry("e", world.endpoint, 7, "Terminating")]);
--- a/crates/sailcart-sender/tests/peer/world.rs
+++ b/crates/sailcart-sender/tests/peer/world.rs
@@ -81,6 +81,19 @@
         self.until("the sender is ready", |world| say(world.listen, "*1\r\n$4\r\nPING\r\n").is_ok());
     }
 
+    /// The same with a sender that runs under a page of faults, and knows the list.
+    pub fn under_faults(
+        story: &str,
+        reply: impl Fn(usize, &Call) -> Answer + Send + Sync + 'static,
+    ) -> (World, Arc<Page>) {
+        let mut world = World::new(story, reply);
+        let page = world.with_faults();
+        world.kill();
+        world.start();
+        world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
+        (world, page)
+    }
+
     /// The sender's next lives run under a page of faults; none are set yet.
     pub fn with_faults(&mut self) -> Arc<Page> {
         let page = Arc::new(Page::new(&self.folder.join("shim-page")).expect("a page"));
--- a/crates/sailcart-sender/tests/short_calls.rs
+++ b/crates/sailcart-sender/tests/short_calls.rs
@@ -18,12 +18,9 @@
     const PACKETS: usize = 200;
     /// The listed rate of the destination is 50 a second, and the hold is smaller than all of them.
     const PACE: Duration = Duration::from_millis(21);
-    let mut world =
-        World::new("short-calls", |_, _| answer("200 OK", "X-Some: header of an answer\r\n", "and a body"));
-    let page = world.with_faults();
-    world.kill();
-    world.start();
-    world.until("the list", |world| world.log().matches("discovery: version 1").count() == 2);
+    let (world, page) = World::under_faults("short-calls", |_, _| {
+        answer("200 OK", "X-Some: header of an answer\r\n", "and a body")
+    });
     for (word, value) in
         [(Word::ReadCut, 200), (Word::ReadCutMost, 40), (Word::WriteCut, 200), (Word::WaitInterrupted, 100)]
     {
