Soak: SIGHUP in the instant of SIGTERM, and kills within a start; refusals name their packets

A told restart in a soak gets both signals; one in three lives behind a kill is killed again 0 to 33 ms into its start. A call that the guard refuses names its packets in the log (debug).

--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -30,6 +30,9 @@
 /// The word on the command line by which the lab starts itself as a sender's keeper.
 pub const KEEP: &str = "keep";
 const LOOK: Duration = Duration::from_millis(20);
+/// From one moment of a start at which a sender is killed to the next, and how many there are.
+const START_STEP: Duration = Duration::from_millis(3);
+const START_STEPS: u32 = 12;
 
 /// The sender's program.
 pub fn find(given: Option<&Path>) -> Result<PathBuf, Fault> {
@@ -77,6 +80,8 @@
     shared: Rc<SharedState>,
     program: PathBuf,
     processes: Vec<SenderProcess>,
+    /// Lives that followed a kill.
+    killed: Cell<u64>,
     /// Configurations, journals and logs; gone with this run, but for a folder that was given.
     _folder: Option<tempfile::TempDir>,
 }
@@ -125,13 +130,20 @@
             }
             processes.push(process);
         }
-        Ok(Rc::new(SenderProcesses { shared: shared.clone(), program, processes, _folder: own }))
+        let killed = Cell::new(0);
+        Ok(Rc::new(SenderProcesses { shared: shared.clone(), program, processes, killed, _folder: own }))
     }
 
     /// A sender that somebody else started.
     pub fn elsewhere(shared: &Rc<SharedState>, at: SocketAddr) -> Rc<SenderProcesses> {
         let processes = vec![SenderProcess::new(at, PathBuf::new())];
-        Rc::new(SenderProcesses { shared: shared.clone(), program: PathBuf::new(), processes, _folder: None })
+        Rc::new(SenderProcesses {
+            shared: shared.clone(),
+            program: PathBuf::new(),
+            processes,
+            killed: Cell::new(0),
+            _folder: None,
+        })
     }
 
     /// Where clients reach a sender.
@@ -230,6 +242,9 @@
         self.shared.see(Seen::SenderDown(sender));
         if let Some(within) = told {
             let _ = kill(pid, Signal::SIGTERM);
+            if process.page.is_some() {
+                let _ = kill(pid, Signal::SIGHUP); // in the same instant
+            }
             sleep(Duration::from_millis(300)).await;
             process.taking.set(false);
             self.ended(sender, within).await;
@@ -240,6 +255,9 @@
         *process.child.borrow_mut() = None;
         process.end_life();
         sleep(down).await;
+        if told.is_none() && process.page.is_some() {
+            self.kill_in_its_start(sender).await;
+        }
         match self.start(sender).await {
             Ok(()) if self.ready(sender, Duration::from_secs(10)).await.is_ok() => {
                 self.shared.see(Seen::SenderUp(sender));
@@ -248,6 +266,20 @@
         }
     }
 
+    /// Of the lives in a soak that follow a kill, one in three is killed again within its start, at a moment that moves on.
+    async fn kill_in_its_start(&self, sender: SenderId) {
+        let count = self.killed.replace(self.killed.get() + 1);
+        if count % 3 != 0 || self.start(sender).await.is_err() {
+            return;
+        }
+        sleep(START_STEP * (count as u32 / 3 % START_STEPS)).await;
+        if let Some(pid) = self.pid(sender) {
+            let _ = kill(pid, Signal::SIGKILL);
+        }
+        self.ended(sender, Duration::from_secs(1)).await;
+        *self.processes[sender.0].child.borrow_mut() = None;
+    }
+
     /// Starts a sender anew that ended by itself.
     async fn revive(&self, sender: SenderId) {
         let process = &self.processes[sender.0];
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -50,7 +50,10 @@
         let permitted = questions.permit(|| desk.ledger.sends(&ids, desk.clock.moment(now)));
         match &permitted {
             Ok(_) => call.sent.set(Some(Instant::now())),
-            Err(refusal) => log::debug!("call to {}: not sent, {refusal:?}", call.address),
+            Err(refusal) => {
+                let names: Vec<&str> = call.packets.iter().map(|packet| &*packet.id).collect();
+                log::debug!("packet {}: not sent to {}, {refusal:?}", names.join(" "), call.address);
+            }
         }
         for packet in call.packets.iter().filter(|_| permitted.is_ok()) {
             log::debug!("packet {}: goes to {}", packet.id, call.address);
