--- a/crates/sailcart-lab/src/soak/mod.rs
+++ b/crates/sailcart-lab/src/soak/mod.rs
@@ -23,6 +23,9 @@
 use schedule::{Pair, Planned};
 use verdict::Verdict;
 
+/// How long discovery may be out of reach: what it has to tell is judged a while after that.
+const LONGEST_CUT_OFF: Duration = Duration::from_secs(6);
+
 /// What to play.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Options {
@@ -102,7 +105,11 @@
         known.ok_or_else(|| Fault(format!("--only: no kind of trouble is named {word}")))
     };
     let kinds: Vec<SoakKind> = options.only.iter().map(named).collect::<Result<_, _>>()?;
-    let all = kinds.iter().map(|kind| Planned { kind: *kind, from: span / 8, until: span * 7 / 8 });
+    let all = kinds.iter().map(|kind| {
+        let cut_off = matches!(kind, SoakKind::PlatformLink | SoakKind::ListSilent);
+        let longest = if cut_off { LONGEST_CUT_OFF } else { span };
+        Planned { kind: *kind, from: span / 8, until: (span / 8 + longest).min(span * 7 / 8) }
+    });
     Ok(vec![all.collect(); options.runs])
 }
 
--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -272,6 +272,7 @@
         if count % 3 != 0 || self.start(sender).await.is_err() {
             return;
         }
+        self.processes[sender.0].wanted.set(false); // its end is no crash
         sleep(START_STEP * (count as u32 / 3 % START_STEPS)).await;
         if let Some(pid) = self.pid(sender) {
             let _ = kill(pid, Signal::SIGKILL);
--- a/crates/sailcart-lab/src/watcher/single.rs
+++ b/crates/sailcart-lab/src/watcher/single.rs
@@ -50,6 +50,8 @@
         let (now, crossing) = (record.now, record.rules.crossing);
         let Some(kept) = record.packets.get_mut(&packet) else { return };
         let handed = kept.handed;
+        // A dismissal that is told again says nothing new, whatever its client has done since the first.
+        let told_again = matches!(kept.end, Some((_, before)) if before == end);
         match kept.end {
             None => {
                 let unknown =
@@ -75,6 +77,7 @@
             }
         }
         if end == End::Dismissed
+            && !told_again
             && handed.repeat == Repeat::Unrepeatable
             && let Some((at, first)) = self.ran.get(&handed.origin).copied()
         {
--- a/crates/sailcart-lab/tests/soak.rs
+++ b/crates/sailcart-lab/tests/soak.rs
@@ -6,11 +6,14 @@
 use std::thread;
 use std::time::Duration;
 
-use sailcart_lab::plan::{Plan, chance};
+use sailcart::{EndpointId, PacketId};
+use sailcart_lab::experiment::Repeat;
+use sailcart_lab::plan::{OriginId, Plan, SenderId, chance};
 use sailcart_lab::soak::kinds::SoakKind;
 use sailcart_lab::soak::proxy::{Manner, Proxy};
 use sailcart_lab::soak::schedule::{Planned, all_pairs, pairs, row};
 use sailcart_lab::soak::{experiment, machine};
+use sailcart_lab::watcher::{CallId, End, GateId, Handed, Rule, Seen, Watcher};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
@@ -99,3 +102,36 @@
         assert!(ended.is_err() || ended.is_ok_and(|read| read == 0), "what was held is lost");
     });
 }
+
+/// A platform that does not acknowledge a dismissal hears it again, perhaps after its client's next try took effect; a dismissal that is
+/// told for the first time after that is a breach.
+#[test]
+fn a_dismissal_told_again_is_none_and_a_late_one_is() {
+    let ms = Duration::from_millis;
+    let day = experiment::of(&[], 2, SPAN, 40.0);
+    let plan = Plan::new(day.clone(), 1).expect("a plan");
+    let order =
+        plan.origins.iter().position(|origin| plan.category(origin.category).repeat == Repeat::Unrepeatable);
+    let origin = OriginId(order.expect("an order"));
+    for first_is_early in [true, false] {
+        let mut watcher = Watcher::new(&day.rules);
+        let handed = |packet| Seen::Handed(Handed::new(&plan, PacketId(packet), origin, SenderId(0)));
+        let call = Seen::Came {
+            call: CallId(1),
+            sender: SenderId(0),
+            endpoint: EndpointId(0),
+            gate: GateId(0),
+            packets: vec![PacketId(1)],
+        };
+        watcher.see(ms(1), &handed(0));
+        watcher.see(ms(2), &Seen::Taken(PacketId(0)));
+        if first_is_early {
+            watcher.see(ms(3), &Seen::Ended(PacketId(0), End::Dismissed));
+        }
+        watcher.see(ms(4), &handed(1));
+        watcher.see(ms(5), &call);
+        watcher.see(ms(5), &Seen::Ran(CallId(1), vec![true]));
+        watcher.see(ms(6), &Seen::Ended(PacketId(0), End::Dismissed));
+        assert_eq!(watcher.count(Rule::NoDouble), u64::from(!first_is_early));
+    }
+}
