--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1000,6 +1000,7 @@
         play.back(packet, Outcome::Unsent);
         let start = play.now;
         while play.out().is_empty() {
+            assert!(play.now < start + ms(1000), "not called again: {:?}", play.asked.answers);
             play.after(1);
         }
         rests.push(play.now - start);
