--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -269,7 +269,7 @@
     /// Of the lives in a soak that follow a kill, one in three is killed again within its start, at a moment that moves on.
     async fn kill_in_its_start(&self, sender: SenderId) {
         let count = self.killed.replace(self.killed.get() + 1);
-        if count % 3 != 0 || self.start(sender).await.is_err() {
+        if !count.is_multiple_of(3) || self.start(sender).await.is_err() {
             return;
         }
         self.processes[sender.0].wanted.set(false); // its end is no crash
