--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -279,7 +279,7 @@
                 record.down.remove(sender);
                 self.single.back(record, *sender);
             }
-            Seen::Folder { sender, fails } => self.single.folder(*sender, *fails),
+            Seen::Folder { sender, fails } => self.single.folder(record, *sender, *fails),
         }
     }
 
--- a/crates/sailcart-lab/src/watcher/single.rs
+++ b/crates/sailcart-lab/src/watcher/single.rs
@@ -148,7 +148,7 @@
         }
     }
 
-    /// A sender dies: what was delivered to it just before may be unread.
+    /// A sender dies, or its folder begins to fail: what was delivered to it just before may be unread, or unrecorded.
     pub fn down(&mut self, record: &Record, sender: SenderId) {
         while self.delivered.front().is_some_and(|(at, _)| *at + record.rules.crossing < record.now) {
             self.delivered.pop_front();
@@ -159,8 +159,9 @@
     }
 
     /// A sender's folder begins to fail, or is well again. What was delivered just before may not be recorded either.
-    pub fn folder(&mut self, sender: SenderId, fails: bool) {
+    pub fn folder(&mut self, record: &Record, sender: SenderId, fails: bool) {
         if fails {
+            self.down(record, sender);
             self.folder_fails.insert(sender);
         } else {
             self.folder_fails.remove(&sender);
