--- a/crates/sailcart-sender/src/config/mod.rs
+++ b/crates/sailcart-sender/src/config/mod.rs
@@ -60,7 +60,8 @@
 }
 
 /// Descriptors for all but clients and endpoints: standard streams, the poll, signals, the listener, the
-/// journal's ten files, discovery and notices, each perhaps twice while one replaces the other.
+/// journal's ten files, discovery, perhaps twice while one connection replaces the other, four for notices, a
+/// configuration that is being read.
 const OWN_SOCKETS: usize = 32;
 const MB: f64 = 1e6;
 /// Bytes for an id that is remembered, and what stands around it.
--- a/crates/sailcart-sender/src/exchange/clock.rs
+++ b/crates/sailcart-sender/src/exchange/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::memory::moment::{BootId, Distance, Moment, Span, boot_id};
+use crate::memory::moment::{BootId, Distance, Moment, Span, Uptime, boot_id};
 
 /// Longer than any destination remembers a key.
 const LONG_AGO: Duration = Duration::from_secs(24 * 3600);
@@ -19,7 +19,12 @@
     pub(super) fn new(sent: impl Iterator<Item = Moment>) -> Self {
         let boot = boot_id();
         let now = Moment::now(boot);
-        log::info!("clock: boot={:?} uptime={:?} unix={:?}", boot, now.uptime.map(|up| up.since), now.unix);
+        match now.uptime {
+            Some(Uptime { boot, since }) => {
+                log::info!("clock: boot={boot} uptime={since:?} unix={:?}", now.unix)
+            }
+            None => log::warn!("clock: code=no_boot_id unix={:?}; spans over processes are unsure", now.unix),
+        }
         let lead = sent.map(|at| age(now, at)).max().unwrap_or_default();
         Clock { start: Instant::now(), lead, boot }
     }
--- a/crates/sailcart-sender/src/memory/moment.rs
+++ b/crates/sailcart-sender/src/memory/moment.rs
@@ -1,6 +1,7 @@
 //! Points in time that outlive their process. A wall clock may be stepped at any moment, so a span between two of them stands on the
 //! machine's monotonic clock, which runs on over processes until the machine itself starts anew; the kernel's boot id tells that.
 
+use std::fmt::{self, Display};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
@@ -14,6 +15,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BootId(pub u64);
 
+impl Display for BootId {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "{:016x}", self.0)
+    }
+}
+
 /// A time of the monotonic clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Uptime {
