Red: with each record synced, a client hears +OK of a packet whose end may stand

Found by reading Ledger::over_at_once again: an end that was written and whose sync fails may count for the next process, and the packet's client hears +OK.

--- a/crates/sailcart-sender/tests/failing_folder.rs
+++ b/crates/sailcart-sender/tests/failing_folder.rs
@@ -215,3 +215,37 @@
     world.start();
     world.until("its call", |world| world.came() == ["a1"]);
 }
+
+/// As above where each record is synced: the record of the end is written and its sync fails, so that it may stand. Whoever hears `+OK`
+/// then must have a packet that stands as well.
+#[test]
+fn who_hears_ok_has_a_packet_though_its_end_may_stand() {
+    const SLOW_PACE: (&str, &str) = (r#""period_ms": 5,"#, r#""period_ms": 1500,"#);
+    const EACH: (&str, &str) = (r#""disk_mb": 3 "#, r#""disk_mb": 3, "sync": "each" "#);
+    let (mut world, page) = world("ok-unsynced", |_, _| answer("200 OK", "", ""));
+    world.restart_with(&[SLOW_PACE, EACH, (r#""max_open": 100"#, r#""max_open": 2"#)]);
+    assert_eq!(put_for(&world, "a1", 20_000), "+OK");
+    world.until("its delivery", |world| world.folder_shows().contains("0 packets not over")); // a round has just been
+    let listen = world.listen;
+    let clients: Vec<_> = (0..6)
+        .map(|number| {
+            let id = format!("b{number}");
+            let words = format!("c=notice,t=acme,d=20000,k={id},dest=7");
+            std::thread::spawn(move || (id.clone(), put(listen, &id, &words, "hello").unwrap_or_default()))
+        })
+        .collect();
+    world.until("the last record", |world| world.folder_shows().matches("packet b").count() >= 6);
+    page.set(Word::FileSync, EIO.into()).expect("a page");
+    world.until("an end that may stand", |world| {
+        page.count(Count::FileSync) > 0 && world.log().contains("ends Dismissed")
+    });
+    sleep(Duration::from_millis(200));
+    world.kill();
+    page.clear().expect("a page");
+    world.start();
+    let said: Vec<(String, String)> =
+        clients.into_iter().map(|client| client.join().expect("no panic")).collect();
+    for (id, _) in said.iter().filter(|(_, answer)| answer == "+OK") {
+        world.until("its end", |world| world.came().contains(id) || notices_of(world, id) > 0);
+    }
+}
