--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -252,14 +252,16 @@
         let values = stands.iter().map(|(id, stand)| (key(Form::Stand, *id), records::write_stand(stand)));
         let values: Vec<_> = values.collect();
         let changes: Vec<_> = values.iter().map(|(key, value)| Change::Put(key, value)).collect();
-        let recorded = self.record(&changes).and_then(|()| self.sync());
-        match recorded {
-            Ok(()) => stands.into_iter().for_each(|(id, stand)| self.set_stand(id, stand)),
-            // The record may stand although the call does not go.
-            Err(Fault::Unsure { .. }) => before.into_iter().for_each(|(id, stand)| self.put_stand(id, stand)),
-            Err(_) => {}
+        let recorded = self.record(&changes);
+        let may_stand = matches!(recorded, Ok(()) | Err(Fault::Unsure { .. }));
+        let synced = recorded.and_then(|()| self.sync());
+        if synced.is_ok() {
+            stands.into_iter().for_each(|(id, stand)| self.set_stand(id, stand));
+        } else if may_stand {
+            // The record may count although the call does not go.
+            before.into_iter().for_each(|(id, stand)| self.put_stand(id, stand));
         }
-        Ok(recorded?)
+        Ok(synced?)
     }
 
     /// The dispatch came back.
@@ -298,18 +300,20 @@
         self.record_later(Group { packet: id, changes });
     }
 
-    /// The packet is over, and its client, which has heard nothing yet, is to be told so. False, with nothing changed, where that
-    /// cannot be recorded: the next process would find it as taken.
+    /// The packet is over, and its client, which has heard nothing yet, is to be told so with the next [`commit`](Self::commit) that
+    /// succeeds. False, with nothing changed, where that cannot be recorded: the next process would find it as taken.
     #[must_use]
     pub fn over_at_once(&mut self, id: PacketId, told: Notice) -> bool {
         let Some(name) = self.kept.get(&id).map(|kept| kept.packet.id.clone()) else { return true };
         let changes = self.final_changes(id, &name, Some(told));
         let recorded = self.record(&changes.iter().map(OwnedChange::as_change).collect::<Vec<_>>());
-        if recorded.is_ok() {
+        // A record whose sync failed may stand: nobody hears of it before it does.
+        let stands = matches!(recorded, Ok(()) | Err(Fault::Unsure { .. }));
+        if stands {
             self.leave(id, Some(told));
             self.remember(id);
         }
-        recorded.is_ok()
+        stands
     }
 
     /// What ends all records of a packet. Its id stands for a while, so that one that comes again after a restart is known.
