--- a/crates/sailcart-sender/tests/failing_folder.rs
+++ b/crates/sailcart-sender/tests/failing_folder.rs
@@ -249,3 +249,27 @@
         world.until("its end", |world| world.came().contains(id) || notices_of(world, id) > 0);
     }
 }
+
+/// Each record is synced, and the sync of a packet's first record fails: it may stand, so nobody hears that it was refused.
+#[test]
+fn who_hears_busy_has_no_packet_that_stands() {
+    let (mut world, page) = world("busy-unsynced", |_, _| answer("200 OK", "", ""));
+    world.restart_with(&[(r#""disk_mb": 3 "#, r#""disk_mb": 3, "sync": "each" "#)]);
+    page.set(Word::FileSync, EIO.into()).expect("a page");
+    let listen = world.listen;
+    let client = std::thread::spawn(move || {
+        put(listen, "a1", "c=notice,t=acme,d=20000,k=a1,dest=7", "hello").unwrap_or_default()
+    });
+    world.until("a failed sync", |_| page.count(Count::FileSync) > 0);
+    sleep(Duration::from_millis(300));
+    world.kill();
+    let said = client.join().expect("no panic");
+    page.clear().expect("a page");
+    world.start();
+    sleep(Duration::from_millis(800));
+    assert!(
+        !said.starts_with("-BUSY") || world.came().is_empty(),
+        "{said}, and it is called: {}",
+        world.log()
+    );
+}
