With each record synced, a packet whose sync fails is taken, and its client hears so once it stands

Cause: Ledger::take refused a packet whose record stood and whose sync had failed, and queued its end, which a SIGKILL forestalled. Change: it is taken; +OK goes with the commit that makes sure of it. Where the sync goes on failing its client gives up, as its due.

--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -221,14 +221,11 @@
             }
             return Err(io::ErrorKind::StorageFull.into());
         }
-        let recorded = self.record(&[Change::Put(&key, &value)]);
-        if let Err(Fault::Unsure { .. }) = recorded {
-            // It may stand, and its client hears that it does not.
-            let changes = vec![OwnedChange::End(key)];
-            self.backlog.push(Group { packet: packet.number, changes });
-            self.next = self.next.max(packet.number.0 + 1);
+        match self.record(&[Change::Put(&key, &value)]) {
+            // Its sync failed: it may stand, so it is taken. Its client hears so with the commit that makes sure of it.
+            Ok(()) | Err(Fault::Unsure { .. }) => {}
+            Err(fault) => return Err(fault.into()),
         }
-        recorded?;
         if std::mem::take(&mut self.full) {
             log::info!("journal: code=room_again");
         }
