--- a/crates/sailcart-sender/tests/clock_steps.rs
+++ b/crates/sailcart-sender/tests/clock_steps.rs
@@ -141,3 +141,38 @@
         scope.spawn(a_deadline_is_a_span_of_real_time);
     });
 }
+
+/// A told wait is a span of real time: no step within it cuts it short or makes it longer.
+#[test]
+fn a_told_wait_is_kept_through_a_step() {
+    for_each_step("wait", true, |story, step| {
+        let (world, page) = World::under_faults(story, |number, _| match number {
+            0 => answer("429 Too Many Requests", "Retry-After: 2.0\r\n", ""),
+            _ => answer("200 OK", "", ""),
+        });
+        assert_eq!(put_for(&world, "a1", 20_000), "+OK");
+        world.until("its wait", |world| world.log().contains("packet a1 from"));
+        let told = Instant::now();
+        step(&page, true);
+        world.until("the next call", |world| world.came().len() == 2);
+        let waited = told.elapsed();
+        assert!(waited > Duration::from_millis(1850), "{story}: called after {waited:?}");
+        assert!(waited < Duration::from_millis(3000), "{story}: called after {waited:?}");
+    });
+}
+
+/// The id of a packet that is over is known to the next life, whatever the clock says: nothing runs a second time for it.
+#[test]
+fn an_id_is_remembered_through_a_step() {
+    for_each_step("ids", false, |story, step| {
+        let (mut world, page) = World::under_faults(story, |_, _| answer("200 OK", "", ""));
+        assert_eq!(put_for(&world, "a1", 20_000), "+OK");
+        world.until("its end", |world| world.folder_shows().contains("0 packets not over"));
+        world.kill();
+        step(&page, false);
+        world.start();
+        assert_eq!(put_for(&world, "a1", 20_000), "+OK");
+        sleep(Duration::from_millis(500));
+        assert_eq!(world.came(), ["a1"], "{story}: called again");
+    });
+}
