Test of format 2: in a file that starts no process, as a child holds the folder's lock for a moment

The sender forks nothing. Change: tests/other_boot.rs has the story with a process; formats.rs none.

--- a/crates/sailcart-sender/tests/formats.rs
+++ b/crates/sailcart-sender/tests/formats.rs
@@ -1,21 +1,15 @@
-//! Folders of earlier formats, and of a machine that was started anew.
+//! Folders of earlier formats. No process is started here: a child has a copy of the folder's lock between its fork and its exec, so that a
+//! folder that is opened again beside one may be found in use.
 
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use sailcart::DestinationId;
 use sailcart_sender::memory::ledger::Ledger;
-use sailcart_sender::memory::moment::{BootId, Distance, Moment, Span, Uptime, boot_id};
-use sailcart_sender::memory::{Notice, Packet, Stand};
+use sailcart_sender::memory::moment::{BootId, Distance, Moment, Span, Uptime};
+use sailcart_sender::memory::{Notice, Stand};
 use sailcart_store::Sync;
 
-#[allow(dead_code)] // other tests use the rest of it
-mod peer;
-
-use peer::answer;
-use peer::world::World;
-
 /// A folder that the release before this format wrote: six packets, of which one is untried, one out, one in doubt, one ended with a
 /// notice owed, one delivered and one refused at once.
 const FORMAT_2: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/store-format-2");
@@ -71,46 +65,6 @@
     assert_eq!(ledger.stand(kept[1].number), expected[1]);
 }
 
-/// The kernel's boot id is another: how long ago the call went nobody can tell, whatever the wall clock says. So it does not go again
-/// where its key may be forgotten; what was never called is.
-#[test]
-fn a_machine_that_was_started_anew_repeats_nothing_and_tries_what_is_untried() {
-    let mut world = World::new("other-boot", |_, _| answer("200 OK", "", ""));
-    world.kill();
-    let mut ledger = Ledger::open(&world.folder, 1_000_000, 16, Sync::None).expect("a journal");
-    let other = |moment: Moment| Moment {
-        uptime: Some(Uptime {
-            boot: BootId(!boot_id().map_or(0, |boot| boot.0)),
-            since: Duration::from_secs(9),
-        }),
-        ..moment
-    };
-    let now = Moment::now(boot_id());
-    let mut take = |id: &str| {
-        let packet = Packet {
-            number: ledger.next(),
-            id: id.into(),
-            category: "notice".into(),
-            customer: None,
-            mark: Some(id.into()),
-            about: None,
-            destination: DestinationId(7),
-            ends: other(now.later(Duration::from_secs(20))),
-            body: b"hello".to_vec().into(),
-        };
-        let number = packet.number;
-        ledger.take(packet).expect("room");
-        number
-    };
-    let (called, _untried) = (take("called"), take("untried"));
-    ledger.sends(&[called], other(now)).expect("room");
-    drop(ledger);
-    world.start();
-    world.until("the call", |world| world.came() == ["untried"]);
-    world.until("the end", |world| world.notices().iter().any(|line| line.contains("called")));
-    assert_eq!(world.came(), ["untried"]);
-}
-
 #[test]
 fn a_distance_is_sure_within_one_start_of_the_machine_only() {
     let at = |boot, unix, since| Moment {
--- /dev/null
+++ b/crates/sailcart-sender/tests/other_boot.rs
@@ -0,0 +1,55 @@
+//! A folder of a machine that was started anew since.
+
+use std::time::Duration;
+
+use sailcart::DestinationId;
+use sailcart_sender::memory::Packet;
+use sailcart_sender::memory::ledger::Ledger;
+use sailcart_sender::memory::moment::{BootId, Moment, Uptime, boot_id};
+use sailcart_store::Sync;
+
+#[allow(dead_code)] // other tests use the rest of it
+mod peer;
+
+use peer::answer;
+use peer::world::World;
+
+/// The kernel's boot id is another: how long ago the call went nobody can tell, whatever the wall clock says. So it does not go again
+/// where its key may be forgotten; what was never called is.
+#[test]
+fn a_machine_that_was_started_anew_repeats_nothing_and_tries_what_is_untried() {
+    let mut world = World::new("other-boot", |_, _| answer("200 OK", "", ""));
+    world.kill();
+    let mut ledger = Ledger::open(&world.folder, 1_000_000, 16, Sync::None).expect("a journal");
+    let other = |moment: Moment| Moment {
+        uptime: Some(Uptime {
+            boot: BootId(!boot_id().map_or(0, |boot| boot.0)),
+            since: Duration::from_secs(9),
+        }),
+        ..moment
+    };
+    let now = Moment::now(boot_id());
+    let mut take = |id: &str| {
+        let packet = Packet {
+            number: ledger.next(),
+            id: id.into(),
+            category: "notice".into(),
+            customer: None,
+            mark: Some(id.into()),
+            about: None,
+            destination: DestinationId(7),
+            ends: other(now.later(Duration::from_secs(20))),
+            body: b"hello".to_vec().into(),
+        };
+        let number = packet.number;
+        ledger.take(packet).expect("room");
+        number
+    };
+    let (called, _untried) = (take("called"), take("untried"));
+    ledger.sends(&[called], other(now)).expect("room");
+    drop(ledger);
+    world.start();
+    world.until("the call", |world| world.came() == ["untried"]);
+    world.until("the end", |world| world.notices().iter().any(|line| line.contains("called")));
+    assert_eq!(world.came(), ["untried"]);
+}
