The log tells when, on which connection and after how long each call was answered

The report's logs could not tell which call a response ended: lines had no time, connections no number, and neither the first byte of a response nor bytes behind it were logged. Now each line has the wall clock (for people) and the monotonic clock (joins the senders of a machine, also where the wall clock steps); a connection has a number, its calls and its idle time, at its end too (info) and at each call (debug: written, read with status, first byte, unread bytes).

--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -2,6 +2,7 @@
 //! owner.
 
 use std::cell::{Cell, RefCell};
+use std::fmt::{self, Display};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -12,9 +13,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout_at};
 
+use crate::endpoint_connection::EndpointConnection;
 use crate::exchange::invariants::{Permit, Refusal};
 use crate::local_errors;
-use crate::memory::pool::{Pool, log_connection_end};
+use crate::memory::pool::Pool;
 use crate::outgoing::{Call, CallOwner};
 use crate::response::{self, Response};
 use crate::socket::Socket;
@@ -31,12 +33,19 @@
     connect_timeout: Duration,
     /// Number of connections that could not be established because of local errors.
     local_errors: Cell<u64>,
+    /// Number of connections established so far.
+    connections: Cell<u64>,
 }
 
 impl Endpoints {
     /// `connect_timeout` bounds connecting, in addition to the timeout of each call.
     pub fn new(pool: Pool, connect_timeout: Duration) -> Self {
-        Endpoints { pool: RefCell::new(pool), connect_timeout, local_errors: Cell::new(0) }
+        Endpoints {
+            pool: RefCell::new(pool),
+            connect_timeout,
+            local_errors: Cell::new(0),
+            connections: Cell::new(0),
+        }
     }
 
     /// Closes an endpoint's idle connections. `code` is the reason in the log.
@@ -63,24 +72,24 @@
         owner.wait_for_key_order(&call).await;
         let (outcomes, head, reusable) = match self.connect(&call).await {
             Err(outcome) => (same_for_all(&call, outcome), None, None),
-            Ok(stream) => match owner.permit(&call) {
-                Ok(permit) => send(&call, stream, permit).await,
-                Err(Refusal::NotNow) => (same_for_all(&call, Outcome::NoSlot), None, Some(stream)),
-                Err(Refusal::Unrecorded) => (same_for_all(&call, Outcome::Unsent), None, Some(stream)),
+            Ok(connection) => match owner.permit(&call) {
+                Ok(permit) => send(&call, connection, permit).await,
+                Err(Refusal::NotNow) => (same_for_all(&call, Outcome::NoSlot), None, Some(connection)),
+                Err(Refusal::Unrecorded) => (same_for_all(&call, Outcome::Unsent), None, Some(connection)),
             },
         };
         match reusable {
-            Some(stream) if owner.is_listed(call.endpoint) => {
-                self.pool.borrow_mut().put(call.endpoint, call.address, stream);
+            Some(connection) if owner.is_listed(call.endpoint) => {
+                self.pool.borrow_mut().put(call.endpoint, connection);
             }
-            Some(_) => log_connection_end(call.address, "unlisted"),
+            Some(connection) => connection.log_end("unlisted"),
             None => {}
         }
         owner.call_completed(&call, &outcomes, head.as_ref());
     }
 
     /// Returns an idle or new connection for a call, or the outcome if there is none.
-    async fn connect(&self, call: &Call) -> Result<Socket, Outcome> {
+    async fn connect(&self, call: &Call) -> Result<EndpointConnection, Outcome> {
         let idle = self.pool.borrow_mut().take(call.endpoint);
         if let Some(idle) = idle {
             return Ok(idle);
@@ -92,7 +101,9 @@
         };
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let usable = connected.and_then(|stream| stream.set_nodelay(true).map(|()| Socket(stream)));
-        usable.map_err(|error| self.connect_failed(call, &error))
+        let socket = usable.map_err(|error| self.connect_failed(call, &error))?;
+        self.connections.set(self.connections.get() + 1);
+        Ok(EndpointConnection::new(self.connections.get(), call.address, socket))
     }
 
     /// Logs a failed connect and returns its outcome. Local errors affect calls to all endpoints in quick
@@ -117,23 +128,26 @@
 /// connection if it can be used for another call.
 async fn send(
     call: &Call,
-    mut stream: Socket,
+    mut connection: EndpointConnection,
     _permit: Permit,
-) -> (Vec<PacketOutcome>, Option<Head>, Option<Socket>) {
+) -> (Vec<PacketOutcome>, Option<Head>, Option<EndpointConnection>) {
     let deadline = call.started_at + call.timeout;
     let budget = deadline.saturating_duration_since(Instant::now());
     let call_packets: Vec<CallPacket> = call.packets.iter().map(|packet| to_call_packet(packet)).collect();
     let request = call::write(&call.address.to_string(), &call_packets, budget);
     let (mut written, mut response) = (false, Response::default());
+    log::debug!("{}: written on {connection}", PacketIds(call));
+    connection.begin_call();
     let result = tokio::select! {
         result = timeout_at(
             deadline.into(),
-            round_trip(&mut stream, &request, &mut written, &mut response)
+            round_trip(&mut connection.socket, &request, &mut written, &mut response)
         ) => {
             result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         }
         () = call.cancelled.notified() => Err(io::ErrorKind::Interrupted.into()),
     };
+    log::debug!("{}: read on {connection}: {}", PacketIds(call), ResponseSummary(&response, call));
     let ids: Vec<&str> = call.packets.iter().map(|packet| &*packet.id).collect();
     let outcomes = match (&response.head, &result) {
         // The status alone completes the packet, so that it is not sent again if the rest of the response is
@@ -148,11 +162,11 @@
     match result {
         // A connection on which part of the request was not written cannot be reused.
         Ok(()) if written && response.is_reusable() => {
-            stream.clear_read_readiness();
-            return (outcomes, response.head, Some(stream));
+            connection.socket.clear_read_readiness();
+            return (outcomes, response.head, Some(connection));
         }
-        Ok(()) => log_connection_end(call.address, "answer_closes"),
-        Err(error) => log_connection_end(call.address, log_code(&error)),
+        Ok(()) => connection.log_end("answer_closes"),
+        Err(error) => connection.log_end(log_code(&error)),
     }
     (outcomes, response.head, None)
 }
@@ -189,6 +203,37 @@
     }
 }
 
+/// The packets of a call in a log line.
+struct PacketIds<'a>(&'a Call);
+
+impl Display for PacketIds<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("packet")?;
+        self.0.packets.iter().try_for_each(|packet| write!(formatter, " {}", packet.id))
+    }
+}
+
+/// What was received in response to a call, in a log line. Times are counted from its first byte.
+struct ResponseSummary<'a>(&'a Response, &'a Call);
+
+impl Display for ResponseSummary<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let ResponseSummary(response, call) = self;
+        let sent_at = call.sent_at.get().unwrap_or(call.started_at);
+        let since_sent = |at: Instant| at.saturating_duration_since(sent_at);
+        match response.first_byte_at.map(since_sent) {
+            None => write!(formatter, "nothing within {:?}", sent_at.elapsed()),
+            Some(first_byte) => write!(
+                formatter,
+                "status={:?} first_byte={first_byte:?} until={:?} unread={}",
+                response.status.unwrap_or_default(),
+                sent_at.elapsed(),
+                response.bytes_after
+            ),
+        }
+    }
+}
+
 fn log_code(error: &io::Error) -> &'static str {
     match error.kind() {
         io::ErrorKind::TimedOut => "timed_out",
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -59,7 +59,8 @@
             }
         }
         for packet in call.packets.iter().filter(|_| permitted.is_ok()) {
-            log::debug!("packet {}: goes to {}", packet.id, call.address);
+            let dispatches = host.ledger.dispatch_state(packet.number).dispatches;
+            log::debug!("packet {}: goes to {}, dispatch {dispatches}", packet.id, call.address);
         }
         permitted
     }
--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod backoff;
 pub mod clients;
 pub mod config;
+pub mod endpoint_connection;
 pub mod endpoints;
 pub mod exchange;
 pub mod inspect;
 pub mod life;
 pub mod local_errors;
+pub mod log_format;
 pub mod memory;
 pub mod outgoing;
 pub mod platform;
--- a/crates/sailcart-sender/src/main.rs
+++ b/crates/sailcart-sender/src/main.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use clap::{CommandFactory, Parser, Subcommand};
-use sailcart_sender::{config, inspect, life};
+use sailcart_sender::{config, inspect, life, log_format};
 
 /// A dispatcher of notifications to outside receivers.
 #[derive(Parser)]
@@ -66,7 +66,9 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(|output, record| log_format::write_line(output, record))
+        .init();
     match run(Cli::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
--- a/crates/sailcart-sender/src/memory/moment.rs
+++ b/crates/sailcart-sender/src/memory/moment.rs
@@ -74,8 +74,7 @@
     /// The present, read from both clocks.
     pub fn now(boot: Option<BootId>) -> Moment {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let monotonic = clock_gettime(ClockId::CLOCK_MONOTONIC).ok().map(Duration::from);
-        let uptime = boot.zip(monotonic).map(|(boot, since_boot)| Uptime { boot, since_boot });
+        let uptime = boot.zip(uptime()).map(|(boot, since_boot)| Uptime { boot, since_boot });
         Moment { unix, uptime }
     }
 
@@ -104,6 +103,11 @@
     }
 }
 
+/// The monotonic clock: time since an unspecified point of the machine's boot. `None` if it cannot be read.
+pub fn uptime() -> Option<Duration> {
+    clock_gettime(ClockId::CLOCK_MONOTONIC).ok().map(Duration::from)
+}
+
 /// The id of the machine's current boot; `None` if the kernel reports none.
 pub fn boot_id() -> Option<BootId> {
     let text = std::fs::read_to_string(BOOT_ID_PATH).ok()?;
--- a/crates/sailcart-sender/src/memory/pool.rs
+++ b/crates/sailcart-sender/src/memory/pool.rs
@@ -1,22 +1,17 @@
 //! The pool of idle connections to endpoints.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use crate::socket::Socket;
 use sailcart::EndpointId;
 
-struct IdleConnection {
-    address: SocketAddr,
-    stream: Socket,
-    idle_since: Instant,
-}
+use crate::endpoint_connection::EndpointConnection;
+use crate::socket::Socket;
 
 /// Idle connections by endpoint, the most recently used last in each list and reused first. They are not
 /// grouped by address, since another endpoint may take over an address.
 pub struct Pool {
-    idle: HashMap<EndpointId, Vec<IdleConnection>>,
+    idle: HashMap<EndpointId, Vec<EndpointConnection>>,
     /// A connection that has been idle for this long is closed.
     max_idle_time: Duration,
     /// Maximum number of idle connections over all endpoints.
@@ -30,34 +25,31 @@
     }
 
     /// Removes and returns a connection on which a call can be sent, if there is one.
-    pub fn take(&mut self, endpoint: EndpointId) -> Option<Socket> {
+    pub fn take(&mut self, endpoint: EndpointId) -> Option<EndpointConnection> {
         let idle = self.idle.get_mut(&endpoint)?;
         while let Some(last) = idle.pop() {
-            match self.max_idle_time.checked_sub(last.idle_since.elapsed()) {
-                None => log_connection_end(last.address, "idle"),
-                Some(_) if is_unusable(&last.stream) => log_connection_end(last.address, "peer_closed"),
-                Some(_) => return Some(last.stream),
+            match self.max_idle_time.checked_sub(last.idle_time()) {
+                None => last.log_end("idle"),
+                Some(_) if is_unusable(&last.socket) => last.log_end("peer_closed"),
+                Some(_) => return Some(last),
             }
         }
         None
     }
 
     /// Adds a connection that became idle, or closes it if the pool is full.
-    pub fn put(&mut self, endpoint: EndpointId, address: SocketAddr, stream: Socket) {
+    pub fn put(&mut self, endpoint: EndpointId, mut connection: EndpointConnection) {
+        connection.become_idle();
         if self.len() >= self.max_connections {
-            return log_connection_end(address, "too_many");
+            return connection.log_end("too_many");
         }
-        self.idle.entry(endpoint).or_default().push(IdleConnection {
-            address,
-            stream,
-            idle_since: Instant::now(),
-        });
+        self.idle.entry(endpoint).or_default().push(connection);
     }
 
     /// Closes an endpoint's idle connections and logs each with this code.
     pub fn close(&mut self, endpoint: EndpointId, code: &str) {
         for connection in self.idle.remove(&endpoint).unwrap_or_default() {
-            log_connection_end(connection.address, code);
+            connection.log_end(code);
         }
     }
 
@@ -72,14 +64,10 @@
     pub fn sweep(&mut self) {
         for idle in self.idle.values_mut() {
             idle.retain(|connection| {
-                let code = if connection.idle_since.elapsed() >= self.max_idle_time {
-                    "idle"
-                } else {
-                    "peer_closed"
-                };
-                let must_close = code == "idle" || is_unusable(&connection.stream);
+                let code = if connection.idle_time() >= self.max_idle_time { "idle" } else { "peer_closed" };
+                let must_close = code == "idle" || is_unusable(&connection.socket);
                 if must_close {
-                    log_connection_end(connection.address, code);
+                    connection.log_end(code);
                 }
                 !must_close
             });
@@ -99,8 +87,3 @@
     let read = stream.0.try_read(&mut [0]);
     !matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
 }
-
-/// Logs the end of a connection to an endpoint: one line for each connection.
-pub fn log_connection_end(address: SocketAddr, code: &str) {
-    log::info!("endpoint {address}: connection ended, code={code}");
-}
--- a/crates/sailcart-sender/src/response.rs
+++ b/crates/sailcart-sender/src/response.rs
@@ -34,6 +34,10 @@
     pub body: Vec<u8>,
     /// The response was received completely, and nothing after it.
     pub complete: bool,
+    /// When its first byte was received.
+    pub first_byte_at: Option<std::time::Instant>,
+    /// Number of bytes received after the response, which belong to no call.
+    pub bytes_after: usize,
 }
 
 impl Response {
@@ -117,12 +121,14 @@
         if reader.buffer.is_empty() {
             reader.read_more().await?;
         }
+        response.first_byte_at.get_or_insert_with(std::time::Instant::now);
         let mut body = Vec::new();
         let status = timeout(read_timeout, reader.read_response(response, &mut body)).await;
         // After an interim response, the final one is still to come.
         if status.unwrap_or_else(|_| Err(invalid_data("response incomplete at its time limit")))? >= 200 {
             response.body = body;
             // Bytes after the response were not requested, and would be read as the next response.
+            response.bytes_after = reader.buffer.len();
             response.complete = reader.buffer.is_empty();
             return Ok(());
         }
