Tests: a copy of an earlier 200 loses a packet, at once and one call later (known red)

Red for the report's cause, by the log of the first: 'a2: written on connection=1 calls=1', 'read ... status=200 first_byte=0.2ms', 'Done after 0.3ms'; the 503 comes after 79 ms and ends the connection unread (code=peer_closed). A run beside them without the copy is green.

--- a/crates/sailcart-sender/src/log_format.rs
+++ b/crates/sailcart-sender/src/log_format.rs
@@ -4,6 +4,7 @@
 use std::io::{self, Write};
 use std::time::SystemTime;
 
+use env_logger::fmt::Formatter;
 use log::Record;
 
 use crate::memory::moment::uptime;
@@ -13,7 +14,7 @@
 ///
 /// # Errors
 /// The error of the output.
-pub fn write_line(output: &mut impl Write, record: &Record) -> io::Result<()> {
+pub fn write_line(output: &mut Formatter, record: &Record) -> io::Result<()> {
     // The wall clock is for people only; nothing is computed from it.
     let wall_clock = humantime::format_rfc3339_millis(SystemTime::now());
     let uptime = uptime().unwrap_or_default().as_secs_f64();
--- a/crates/sailcart-sender/src/main.rs
+++ b/crates/sailcart-sender/src/main.rs
@@ -67,7 +67,7 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format(|output, record| log_format::write_line(output, record))
+        .format(log_format::write_line)
         .init();
     match run(Cli::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -0,0 +1,191 @@
+//! An endpoint or the platform writes a copy of an earlier response on a connection that is kept alive, where the
+//! sender may read it as the response to its next request.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+#[allow(dead_code)] // other tests use the rest of it
+mod common;
+
+use common::harness::Harness;
+use common::{http_response, list_entry, submit};
+
+/// Longer than any expected wait in these tests.
+const READ_TIMEOUT: Duration = Duration::from_secs(12);
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const OK_WITH_REPORT: &str = "HTTP/1.1 200 OK\r\nX-Load-Report: x0=0.5,x1=25\r\nContent-Length: 0\r\n\r\n";
+const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+/// How long the endpoints of the report took to respond.
+const RESPONSE_TIME: Duration = Duration::from_millis(79);
+
+/// A connection of an endpoint that follows a script.
+struct Peer {
+    reader: BufReader<TcpStream>,
+    ids: Arc<Mutex<Vec<String>>>,
+}
+
+impl Peer {
+    /// Reads one call and returns the id of its packet; `None` if the connection has ended.
+    fn read_call(&mut self) -> Option<String> {
+        let mut id = String::new();
+        let mut length = 0;
+        loop {
+            let mut line = String::new();
+            if self.reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            match line.trim_end().split_once(": ") {
+                Some(("X-Call-Id", value)) => id = value.to_owned(),
+                Some(("Content-Length", value)) => length = value.parse().ok()?,
+                None if line == "\r\n" => break,
+                _ => {}
+            }
+        }
+        self.reader.read_exact(&mut vec![0; length]).ok()?;
+        self.ids.lock().expect("mutex is not poisoned").push(id.clone());
+        Some(id)
+    }
+
+    fn write(&mut self, bytes: &str) {
+        // The sender may have closed the connection; what it has not read is lost, as with any endpoint.
+        let _ = self.reader.get_mut().write_all(bytes.as_bytes());
+    }
+
+    /// Responds 200 to all further calls.
+    fn respond_ok(mut self) {
+        while self.read_call().is_some() {
+            self.write(OK_WITH_REPORT);
+        }
+    }
+}
+
+/// An endpoint whose first connection is served by `script`. The others are answered with 200.
+struct ScriptedEndpoint {
+    address: SocketAddr,
+    /// The packets of all calls, in order of arrival.
+    ids: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptedEndpoint {
+    fn start(script: impl FnOnce(Peer) + Send + 'static) -> ScriptedEndpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+        let address = listener.local_addr().expect("read the local address");
+        let ids = Arc::new(Mutex::new(Vec::new()));
+        let all_ids = ids.clone();
+        thread::spawn(move || {
+            let mut script = Some(script);
+            for stream in listener.incoming().flatten() {
+                stream.set_nodelay(true).expect("set TCP_NODELAY");
+                stream.set_read_timeout(Some(READ_TIMEOUT)).expect("set the read timeout");
+                let peer = Peer { reader: BufReader::new(stream), ids: all_ids.clone() };
+                let script = script.take();
+                thread::spawn(move || match script {
+                    Some(script) => script(peer),
+                    None => peer.respond_ok(),
+                });
+            }
+        });
+        ScriptedEndpoint { address, ids }
+    }
+
+    fn calls_with(&self, id: &str) -> usize {
+        self.ids.lock().expect("mutex is not poisoned").iter().filter(|other| *other == id).count()
+    }
+}
+
+/// Starts a sender whose only endpoint is `endpoint`.
+fn start_sender(scenario: &str, endpoint: &ScriptedEndpoint, changes: &[(&str, &str)]) -> Harness {
+    let mut harness = Harness::new(scenario, |_, _| http_response("200 OK", "", ""));
+    if !changes.is_empty() {
+        harness.restart_with(changes);
+    }
+    harness.platform.set_list(&[list_entry("f", endpoint.address, 7, "Ready")]);
+    harness.wait_until("the list change", |harness| harness.log().contains("discovery: version 2"));
+    harness
+}
+
+/// Submits a packet with a patience in milliseconds.
+fn submit_with_patience(harness: &Harness, id: &str, patience_ms: u32) {
+    let fields = format!("c=notice,t=acme,d={patience_ms},k={id},dest=7");
+    let reply = submit(harness.listen_address, id, &fields, "hello");
+    assert_eq!(reply.expect("the sender replies"), "+OK");
+}
+
+fn has_notice(harness: &Harness, id: &str) -> bool {
+    harness.notices().iter().any(|notice| notice.contains(id))
+}
+
+/// Two channels by which a script and its test wait for each other.
+fn rendezvous() -> (Sender<()>, Receiver<()>) {
+    channel()
+}
+
+/// Sends a2 on the connection on which a1 was answered, with or without a copy of that answer behind the call,
+/// and returns the number of calls with a2 once it has been repeated or ended by a notice.
+fn calls_with_a_refused_packet(scenario: &str, true_ok: &'static str, copy: &'static str) -> usize {
+    let endpoint = ScriptedEndpoint::start(move |mut peer| {
+        peer.read_call();
+        peer.write(true_ok);
+        if peer.read_call().is_some() {
+            peer.write(copy);
+            thread::sleep(RESPONSE_TIME);
+            peer.write(UNAVAILABLE);
+        }
+        peer.respond_ok();
+    });
+    let harness = start_sender(scenario, &endpoint, &[]);
+    submit_with_patience(&harness, "a1", 8000);
+    harness.wait_until("the first call", |_| endpoint.calls_with("a1") == 1);
+    harness.wait_until("its outcome", |harness| harness.log().contains("packet a1 from"));
+    submit_with_patience(&harness, "a2", 8000);
+    harness.wait_until("a repeat or a notice", |harness| {
+        endpoint.calls_with("a2") == 2 || has_notice(harness, "a2")
+    });
+    endpoint.calls_with("a2")
+}
+
+#[test]
+fn a_copy_of_the_previous_200_behind_a_call_does_not_lose_its_refused_packet() {
+    assert_eq!(calls_with_a_refused_packet("copy-200", OK, OK), 2, "repeated in time");
+}
+
+#[test]
+fn a_refused_packet_is_repeated_where_no_copy_is_written() {
+    assert_eq!(calls_with_a_refused_packet("no-copy", OK, ""), 2);
+}
+
+#[test]
+fn the_response_displaced_by_a_copy_does_not_end_the_next_call() {
+    let (submit_next, may_submit) = rendezvous();
+    let endpoint = ScriptedEndpoint::start(move |mut peer| {
+        peer.read_call();
+        peer.write(OK);
+        peer.read_call();
+        peer.write(OK);
+        submit_next.send(()).expect("the test waits");
+        thread::sleep(RESPONSE_TIME);
+        peer.write(OK_WITH_REPORT);
+        if peer.read_call().is_some() {
+            thread::sleep(RESPONSE_TIME);
+            peer.write(UNAVAILABLE);
+        }
+        peer.respond_ok();
+    });
+    let harness = start_sender("copy-chain", &endpoint, &[]);
+    for id in ["a1", "a2"] {
+        submit_with_patience(&harness, id, 6000);
+        harness.wait_until("the call", |_| endpoint.calls_with(id) == 1);
+        harness.wait_until("its outcome", |harness| harness.log().contains(&format!("packet {id} from")));
+    }
+    may_submit.recv_timeout(READ_TIMEOUT).expect("the copy was written");
+    submit_with_patience(&harness, "a3", 6000);
+    harness.wait_until("a3 is delivered or its end is told", |harness| {
+        let delivered_elsewhere =
+            endpoint.calls_with("a3") == 1 && !harness.log().contains("packet a3: written on connection=1 ");
+        endpoint.calls_with("a3") == 2 || delivered_elsewhere || has_notice(harness, "a3")
+    });
+}
