--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -8,24 +8,26 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use sailcart::response_matching::Attribution;
 use sailcart::{EndpointId, Outcome};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at};
 
-use crate::endpoint_connection::EndpointConnection;
+use crate::endpoint_connection::{EndpointConnection, IdleState, RESPONSE_READ_TIMEOUT};
 use crate::exchange::invariants::{Permit, Refusal};
 use crate::local_errors;
 use crate::memory::pool::Pool;
-use crate::outgoing::{Call, CallOwner};
+use crate::outgoing::{Call, CallOwner, ReceivedResponse, SentCall};
 use crate::response::{self, Response};
 use crate::socket::Socket;
 use crate::wire::MAX_BODY_BYTES;
 use crate::wire::call::{self, CallPacket, PacketOutcome};
 use crate::wire::http::Head;
 
-/// Bounds the time from the first byte of a response to its last.
-const RESPONSE_READ_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of responses that a call skips at most because they belong to an earlier call.
+const MAX_SKIPPED_RESPONSES: usize = 4;
 
 /// Sends calls, and holds the idle connections to endpoints.
 pub struct Endpoints {
@@ -35,6 +37,8 @@
     local_errors: Cell<u64>,
     /// Number of connections established so far.
     connections: Cell<u64>,
+    /// Number of connections that wait for their doubt to end.
+    settling: Cell<usize>,
 }
 
 impl Endpoints {
@@ -45,6 +49,7 @@
             connect_timeout,
             local_errors: Cell::new(0),
             connections: Cell::new(0),
+            settling: Cell::new(0),
         }
     }
 
@@ -58,42 +63,149 @@
         self.pool.borrow_mut().close_all(code);
     }
 
-    /// Closes idle connections before their peers do. Runs until it is dropped.
-    pub async fn sweep(self: Rc<Self>) {
+    /// Closes idle connections before their peers do, and reads what arrives on them unexpectedly. Runs until
+    /// it is dropped.
+    pub async fn sweep(self: Rc<Self>, owner: Rc<impl CallOwner>) {
         loop {
             sleep(Duration::from_millis(250)).await;
             self.pool.borrow_mut().sweep();
+            self.read_unexpected_input(&owner);
         }
     }
 
-    /// Executes a call. By the time the owner receives the outcome, the call's connection is closed or back
-    /// in the pool.
+    /// Executes a call. By the time the owner receives the outcome, the call's connection is closed, back in
+    /// the pool, or waits for the end of its doubt.
     pub async fn execute(self: Rc<Self>, call: Call, owner: Rc<impl CallOwner>) {
         owner.wait_for_key_order(&call).await;
-        let (outcomes, head, reusable) = match self.connect(&call).await {
-            Err(outcome) => (same_for_all(&call, outcome), None, None),
-            Ok(connection) => match owner.permit(&call) {
-                Ok(permit) => send(&call, connection, permit).await,
-                Err(Refusal::NotNow) => (same_for_all(&call, Outcome::NoSlot), None, Some(connection)),
-                Err(Refusal::Unrecorded) => (same_for_all(&call, Outcome::Unsent), None, Some(connection)),
-            },
+        let (outcomes, head, attribution) = match self.connect(&call, &owner).await {
+            Err(outcome) => (same_for_all(&call, outcome), None, Attribution::Certain),
+            Ok(connection) => self.send_if_permitted(&call, connection, &owner).await,
         };
-        match reusable {
-            Some(connection) if owner.is_listed(call.endpoint) => {
-                self.pool.borrow_mut().put(call.endpoint, connection);
+        owner.call_completed(&call, &outcomes, head.as_ref(), attribution);
+    }
+
+    /// Sends a call on a connection if it may still be sent, and disposes of the connection.
+    async fn send_if_permitted(
+        self: &Rc<Self>,
+        call: &Call,
+        mut connection: EndpointConnection,
+        owner: &Rc<impl CallOwner>,
+    ) -> (Vec<PacketOutcome>, Option<Head>, Attribution) {
+        let not_sent = |outcome| (same_for_all(call, outcome), None, Attribution::Certain);
+        let permit = match owner.permit(call) {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                self.keep(call.endpoint, connection, owner);
+                return not_sent(match refusal {
+                    Refusal::NotNow => Outcome::NoSlot,
+                    Refusal::Unrecorded => Outcome::Unsent,
+                });
+            }
+        };
+        // Writing the record takes time, in which the connection may have received something.
+        if connection.calls > 0 {
+            match connection.check_input() {
+                IdleState::Quiet => {}
+                IdleState::Closed => {
+                    connection.log_end("peer_closed");
+                    return not_sent(Outcome::Unsent);
+                }
+                IdleState::Unread => {
+                    self.settle(call.endpoint, connection, owner);
+                    return not_sent(Outcome::Unsent);
+                }
             }
-            Some(connection) => connection.log_end("unlisted"),
-            None => {}
         }
-        owner.call_completed(&call, &outcomes, head.as_ref());
+        let sent = send(call, &mut connection, permit, owner).await;
+        self.dispose(call, connection, &sent, owner);
+        (sent.outcomes, sent.head, sent.attribution)
+    }
+
+    /// Keeps or closes a connection after a call.
+    fn dispose(
+        self: &Rc<Self>,
+        call: &Call,
+        connection: EndpointConnection,
+        sent: &SentResult,
+        owner: &Rc<impl CallOwner>,
+    ) {
+        let all_completed =
+            || sent.outcomes.iter().all(|(outcome, completed)| *completed || *outcome == Outcome::Done);
+        match sent.ending {
+            Ending::Close(code) => connection.log_end(code),
+            Ending::Reusable if sent.attribution == Attribution::InDoubt && !all_completed() => {
+                if !connection.buffer.is_empty() {
+                    owner.extra_response_received(call.endpoint, None);
+                }
+                // The call may still be in progress; it must not be when its packets are sent again.
+                connection.log_end("in_doubt");
+            }
+            Ending::Reusable
+                if !connection.buffer.is_empty()
+                    || (connection.matcher.has_doubt() && owner.must_settle_before_reuse()) =>
+            {
+                self.settle(call.endpoint, connection, owner);
+            }
+            Ending::Reusable => {
+                connection.socket.clear_read_readiness();
+                self.keep(call.endpoint, connection, owner);
+            }
+        }
+    }
+
+    /// Puts a connection into the pool if its endpoint is still listed.
+    fn keep(&self, endpoint: EndpointId, connection: EndpointConnection, owner: &Rc<impl CallOwner>) {
+        if owner.is_listed(endpoint) {
+            self.pool.borrow_mut().put(endpoint, connection, self.settling.get());
+        } else {
+            connection.log_end("unlisted");
+        }
+    }
+
+    fn read_unexpected_input(self: &Rc<Self>, owner: &Rc<impl CallOwner>) {
+        let connections = self.pool.borrow_mut().take_with_unread_input();
+        for (endpoint, connection) in connections {
+            self.settle(endpoint, connection, owner);
+        }
+    }
+
+    /// Reads what else arrives on a connection until it has settled, then puts it back into the pool. After an
+    /// extra response it is closed instead.
+    fn settle(
+        self: &Rc<Self>,
+        endpoint: EndpointId,
+        mut connection: EndpointConnection,
+        owner: &Rc<impl CallOwner>,
+    ) {
+        connection.become_idle();
+        if !self.pool.borrow().has_room(self.settling.get()) {
+            return connection.log_end("too_many");
+        }
+        self.settling.set(self.settling.get() + 1);
+        let (endpoints, owner) = (self.clone(), owner.clone());
+        spawn_local(async move {
+            let settled = read_until_settled(endpoint, connection, &owner).await;
+            endpoints.settling.set(endpoints.settling.get() - 1);
+            if let Some(connection) = settled {
+                endpoints.keep(endpoint, connection, &owner);
+            }
+        });
     }
 
     /// Returns an idle or new connection for a call, or the outcome if there is none.
-    async fn connect(&self, call: &Call) -> Result<EndpointConnection, Outcome> {
-        let idle = self.pool.borrow_mut().take(call.endpoint);
+    async fn connect(
+        self: &Rc<Self>,
+        call: &Call,
+        owner: &Rc<impl CallOwner>,
+    ) -> Result<EndpointConnection, Outcome> {
+        let choice = owner.connection_choice(call);
+        let idle = self.pool.borrow_mut().take(call.endpoint, choice, owner.settle_time());
+        self.read_unexpected_input(owner);
         if let Some(idle) = idle {
             return Ok(idle);
         }
+        // The endpoint accepts only so many connections: the new one replaces an idle one, if there is any.
+        self.pool.borrow_mut().close_oldest(call.endpoint, "replaced");
         let deadline = call.started_at + call.timeout.min(self.connect_timeout);
         let connected = tokio::select! {
             connected = timeout_at(deadline.into(), TcpStream::connect(call.address)) => connected,
@@ -124,71 +236,160 @@
     }
 }
 
-/// Sends a call and reads its response. Returns the outcome of each packet, the head of the response, and the
-/// connection if it can be used for another call.
+/// What became of a connection with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// It must be closed, for the reason in the log.
+    Close(&'static str),
+    /// It can carry another call, as far as this call's response tells.
+    Reusable,
+}
+
+/// What came of a call that was sent.
+struct SentResult {
+    outcomes: Vec<PacketOutcome>,
+    head: Option<Head>,
+    attribution: Attribution,
+    ending: Ending,
+}
+
+/// Sends a call and reads its response.
 async fn send(
     call: &Call,
-    mut connection: EndpointConnection,
+    connection: &mut EndpointConnection,
     _permit: Permit,
-) -> (Vec<PacketOutcome>, Option<Head>, Option<EndpointConnection>) {
+    owner: &Rc<impl CallOwner>,
+) -> SentResult {
     let deadline = call.started_at + call.timeout;
     let budget = deadline.saturating_duration_since(Instant::now());
     let call_packets: Vec<CallPacket> = call.packets.iter().map(|packet| to_call_packet(packet)).collect();
     let request = call::write(&call.address.to_string(), &call_packets, budget);
     let (mut written, mut response) = (false, Response::default());
     log::debug!("{}: written on {connection}", PacketIds(call));
-    connection.begin_call();
+    connection.begin_call(SentCall::of(call));
     let result = tokio::select! {
         result = timeout_at(
             deadline.into(),
-            round_trip(&mut connection.socket, &request, &mut written, &mut response)
+            round_trip(call, connection, &request, &mut written, &mut response, owner)
         ) => {
             result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         }
         () = call.cancelled.notified() => Err(io::ErrorKind::Interrupted.into()),
     };
     log::debug!("{}: read on {connection}: {}", PacketIds(call), ResponseSummary(&response, call));
-    let ids: Vec<&str> = call.packets.iter().map(|packet| &*packet.id).collect();
-    let outcomes = match (&response.head, &result) {
-        // The status alone completes the packet, so that it is not sent again if the rest of the response is
-        // malformed.
-        _ if call::proves_delivery(response.status, ids.len()) => vec![(Outcome::Done, true)],
-        (Some(head), Ok(())) => call::packet_outcomes(head, &response.body, &ids),
-        (_, Err(error)) => {
-            same_for_all(call, outcome_of_failure(written || response.status.is_some(), error))
-        }
-        (None, Ok(())) => same_for_all(call, Outcome::Reset),
-    };
-    match result {
+    let ending = match &result {
         // A connection on which part of the request was not written cannot be reused.
-        Ok(()) if written && response.is_reusable() => {
-            connection.socket.clear_read_readiness();
-            return (outcomes, response.head, Some(connection));
-        }
-        Ok(()) => connection.log_end("answer_closes"),
-        Err(error) => connection.log_end(log_code(&error)),
-    }
-    (outcomes, response.head, None)
+        Ok(()) if written && response.leaves_open() => Ending::Reusable,
+        Ok(()) => Ending::Close("answer_closes"),
+        Err(error) => Ending::Close(log_code(error)),
+    };
+    let (head, fingerprint) = (response.head.clone(), response.fingerprint);
+    let received = ReceivedResponse::of(response);
+    let attribution = if received.status.is_some() {
+        connection.matcher.response_received(connection.age(), fingerprint, received.clone())
+    } else {
+        Attribution::Certain
+    };
+    // An error in a head that was received completely makes the response malformed.
+    let usable = result.is_ok() || call::proves_delivery(received.status, call.packets.len());
+    let outcomes = received.outcomes(&call.packet_ids()).filter(|_| usable);
+    let outcomes = outcomes.unwrap_or_else(|| {
+        let outcome = match &result {
+            Err(error) => outcome_of_failure(written || received.status.is_some(), error),
+            Ok(()) => Outcome::Reset,
+        };
+        same_for_all(call, outcome)
+    });
+    SentResult { outcomes, head, attribution, ending }
 }
 
 /// Writes a request and reads its response; nothing is sent again. A response may arrive before the request
 /// is written completely; the rest of the request is then not written. An endpoint may also have responded
 /// before it closes with unread input, so a failed write does not end the call.
 async fn round_trip(
-    stream: &mut Socket,
+    call: &Call,
+    connection: &mut EndpointConnection,
     request: &[u8],
     written: &mut bool,
     response: &mut Response,
+    owner: &Rc<impl CallOwner>,
 ) -> io::Result<()> {
-    let (mut reader, mut writer) = stream.split();
-    let mut reading =
-        pin!(response::read_collected(&mut reader, MAX_BODY_BYTES, RESPONSE_READ_TIMEOUT, response));
-    *written = tokio::select! {
-        biased;
-        sent = writer.write_all(request) => sent.is_ok(),
-        early = &mut reading => return early,
-    };
-    reading.await
+    {
+        let (mut reader, mut writer) = connection.socket.split();
+        let mut reading = pin!(response::read_collected(
+            &mut reader,
+            &mut connection.buffer,
+            MAX_BODY_BYTES,
+            RESPONSE_READ_TIMEOUT,
+            response
+        ));
+        *written = tokio::select! {
+            biased;
+            sent = writer.write_all(request) => sent.is_ok(),
+            early = &mut reading => return early,
+        };
+        reading.await?;
+    }
+    for _ in 0..MAX_SKIPPED_RESPONSES {
+        if !is_response_to_earlier_call(call, connection, response) {
+            break;
+        }
+        log::debug!("{}: skipped on {connection}: {}", PacketIds(call), ResponseSummary(response, call));
+        owner.extra_response_received(call.endpoint, response.head.as_ref());
+        *response = Response::default();
+        connection.read_response(response).await?;
+    }
+    Ok(())
+}
+
+/// Whether a response lists the packets of an earlier call with several packets: it equals an earlier response
+/// and names no packet of this call.
+fn is_response_to_earlier_call(call: &Call, connection: &EndpointConnection, response: &Response) -> bool {
+    call.packets.len() > 1
+        && response.status == Some(200)
+        && connection.matcher.is_repeated(response.fingerprint)
+        && !call::names_any(&response.body, &call.packet_ids())
+}
+
+/// Reads what arrives on a connection that carries no call until it has settled. Returns the connection if it
+/// can carry another call.
+async fn read_until_settled(
+    endpoint: EndpointId,
+    mut connection: EndpointConnection,
+    owner: &Rc<impl CallOwner>,
+) -> Option<EndpointConnection> {
+    let settled_at = Instant::now() + owner.settle_time();
+    let mut has_extra_input = !connection.buffer.is_empty();
+    loop {
+        let mut response = Response::default();
+        let Ok(read) = timeout_at(settled_at.into(), connection.read_response(&mut response)).await else {
+            has_extra_input |= response.first_byte_at.is_some();
+            break;
+        };
+        let is_extra = response.first_byte_at.is_some();
+        if is_extra {
+            has_extra_input = true;
+            log::debug!("extra response on {connection}: status={:?}", response.status.unwrap_or_default());
+            owner.extra_response_received(endpoint, response.head.as_ref());
+        }
+        if let Err(error) = read {
+            connection.log_end(log_code(&error));
+            return None;
+        }
+        let (now, fingerprint) = (connection.age(), response.fingerprint);
+        let received = ReceivedResponse::of(response);
+        let calls = connection.matcher.extra_response_received(now, fingerprint, received);
+        if owner.resolve(calls) {
+            break;
+        }
+    }
+    if has_extra_input {
+        connection.log_end("extra_answer");
+        return None;
+    }
+    connection.matcher.settle(connection.age(), Duration::ZERO);
+    connection.socket.clear_read_readiness();
+    Some(connection)
 }
 
 /// Returns the outcome of a call without a complete response. The call was not executed unless it `began`:
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -2,19 +2,22 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use sailcart::response_doubt::ConnectionChoice;
+use sailcart::response_matching::{Attribution, Candidates};
 use sailcart::{EndpointId, KeyId, Outcome, PacketId};
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
+use super::confirmation::DoubtEvent;
 use super::directory::EndpointSpec;
 use super::host_state::HostState;
 use super::invariants::{Invariant, Permit, Refusal, SendPreconditions};
 use super::packets::key_id;
 use super::{Exchange, Inner};
 use crate::memory::{Notice, Packet};
-use crate::outgoing::{Call, CallOwner};
+use crate::outgoing::{Call, CallOwner, CallsInDoubt};
 use crate::wire::call::{self, PacketOutcome};
 use crate::wire::http::Head;
 
@@ -69,7 +72,28 @@
         self.inner.borrow().host.directory.contains(endpoint)
     }
 
-    fn call_completed(&self, call: &Call, outcomes: &[PacketOutcome], head: Option<&Head>) {
+    fn connection_choice(&self, call: &Call) -> ConnectionChoice {
+        let Inner { sender, host, .. } = &*self.inner.borrow();
+        let ids: Vec<PacketId> = call.packets.iter().map(|packet| packet.number).collect();
+        sender.connection_choice(host.clock.now(), &ids)
+    }
+
+    fn settle_time(&self) -> Duration {
+        self.inner.borrow().sender.settle_time()
+    }
+
+    fn must_settle_before_reuse(&self) -> bool {
+        let Inner { sender, host, .. } = &*self.inner.borrow();
+        sender.must_settle_before_reuse(host.clock.now())
+    }
+
+    fn call_completed(
+        &self,
+        call: &Call,
+        outcomes: &[PacketOutcome],
+        head: Option<&Head>,
+        attribution: Attribution,
+    ) {
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
         let (now, elapsed) = (host.clock.now(), call.sent_at.get().unwrap_or(call.started_at).elapsed());
         let report = host
@@ -87,19 +111,47 @@
                 host.violations.count(Invariant::OutcomeWithoutCall, &id.0);
             }
             log::debug!("packet {} from {}: {outcome:?} after {elapsed:?}", packet.id, call.address);
-            sender.record_outcome(now, id, elapsed, *outcome, *completed);
+            sender.record_attributed_outcome(now, id, elapsed, *outcome, *completed, attribution);
+            let is_completed = *completed || *outcome == Outcome::Done;
+            if attribution == Attribution::InDoubt {
+                host.doubtful_responses.count(DoubtEvent::InDoubt, &packet.id);
+            }
             if *outcome == Outcome::Done && host.clock.is_past(packet.deadline) {
                 // Whether the packet arrived before its deadline is unknown here, so the platform is notified
                 // of its failure. Such a notice is harmless for a packet that the platform knows as
                 // completed.
                 host.queue_notice(id, Notice::Scrapped);
-            } else if *completed || *outcome == Outcome::Done {
+            } else if is_completed && attribution == Attribution::InDoubt {
+                host.complete_provisionally(id, sender);
+            } else if is_completed {
                 host.ledger.complete(id);
             } else {
-                host.ledger.record_outcome(id, may_have_executed(*outcome));
+                let in_doubt = attribution == Attribution::InDoubt;
+                host.ledger.record_outcome(id, in_doubt || may_have_executed(*outcome));
+            }
+        }
+        self.round_requested.notify_one();
+    }
+
+    fn extra_response_received(&self, endpoint: EndpointId, head: Option<&Head>) {
+        let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
+        sender.record_extra_response(host.clock.now(), endpoint, head.and_then(|head| head.retry_after));
+        host.doubtful_responses.count(DoubtEvent::Extra, &format_args!("endpoint {}", endpoint.0));
+    }
+
+    fn resolve(&self, calls: CallsInDoubt) -> bool {
+        let inner = &mut *self.inner.borrow_mut();
+        let mut must_close = false;
+        for Candidates { call, responses } in &calls {
+            let outcomes: Vec<Vec<PacketOutcome>> =
+                responses.iter().map(|response| call.outcomes(response)).collect();
+            for (index, (id, _)) in call.packets.iter().enumerate() {
+                let possible: Vec<PacketOutcome> = outcomes.iter().map(|each| each[index]).collect();
+                must_close |= inner.resolve_packet(*id, &possible);
             }
         }
         self.round_requested.notify_one();
+        must_close
     }
 }
 
@@ -110,7 +162,7 @@
     }
 }
 
-fn may_have_executed(outcome: Outcome) -> bool {
+pub(super) fn may_have_executed(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
 }
 
--- /dev/null
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -0,0 +1,175 @@
+//! Deliveries that wait for their confirmation: the response that reported them may belong to another call.
+//!
+//! Such a packet is completed at once, in the journal too. It is kept in memory for the settle time, so that it
+//! can be dispatched again if a later response shows that it was not delivered. Where such responses are
+//! expected, it is recorded with a notice at its deadline instead, which a confirmation withdraws.
+
+use std::fmt::{self, Display};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sailcart::response_doubt::UnresolvedDelivery;
+use sailcart::{Outcome, PacketId, Sender};
+
+use super::Inner;
+use super::calls::may_have_executed;
+use super::host_state::HostState;
+use crate::memory::{DispatchState, Notice, Packet};
+use crate::wire::call::PacketOutcome;
+
+/// What is counted of responses that may belong to another call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DoubtEvent {
+    /// A response that belongs to no call.
+    Extra,
+    /// A packet whose response may belong to another call.
+    InDoubt,
+    /// A packet that completed provisionally and was not delivered.
+    Corrected,
+    /// A packet that may have been delivered and completes with a notice, as its doubt was never resolved.
+    Unresolved,
+}
+
+const ALL_EVENTS: [DoubtEvent; 4] =
+    [DoubtEvent::Extra, DoubtEvent::InDoubt, DoubtEvent::Corrected, DoubtEvent::Unresolved];
+
+impl Display for DoubtEvent {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            DoubtEvent::Extra => "extra",
+            DoubtEvent::InDoubt => "in_doubt",
+            DoubtEvent::Corrected => "corrected",
+            DoubtEvent::Unresolved => "unresolved",
+        })
+    }
+}
+
+/// Number of events of each kind in this process.
+#[derive(Debug, Default)]
+pub(super) struct DoubtCounts([u64; ALL_EVENTS.len()]);
+
+impl DoubtCounts {
+    /// Counts an event. Logs the first of each kind and every one that doubles its count; those in doubt, which
+    /// are ordinary where all responses are equal, at debug only.
+    pub(super) fn count(&mut self, event: DoubtEvent, subject: &dyn Display) {
+        let count = &mut self.0[event as usize];
+        *count += 1;
+        let level = match event {
+            DoubtEvent::InDoubt => log::Level::Debug,
+            _ if count.is_power_of_two() => log::Level::Warn,
+            _ => log::Level::Debug,
+        };
+        log::log!(level, "responses: {event}={count} {subject}");
+    }
+}
+
+impl Display for DoubtCounts {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("responses:")?;
+        ALL_EVENTS.iter().try_for_each(|event| write!(formatter, " {event}={}", self.0[*event as usize]))
+    }
+}
+
+/// Number of deliveries that can be taken back at most; the oldest are settled first.
+const MAX_UNCONFIRMED_DELIVERIES: usize = 256;
+
+/// A delivery whose response is in doubt.
+#[derive(Debug)]
+pub(super) struct UnconfirmedDelivery {
+    packet: Rc<Packet>,
+    /// The dispatch state during the call.
+    state: DispatchState,
+    /// When the doubt ends without a further response.
+    settles_at: Duration,
+}
+
+impl HostState {
+    /// Completes a packet whose delivery may have to be taken back.
+    pub(super) fn complete_provisionally(&mut self, id: PacketId, sender: &Sender) {
+        let Some(packet) = self.ledger.packet(id).cloned() else { return };
+        let (now, settle_time) = (self.clock.now(), sender.settle_time());
+        let (state, settles_at) = (self.ledger.dispatch_state(id), now.saturating_add(settle_time));
+        match sender.unresolved_delivery(now) {
+            UnresolvedDelivery::Completed => self.ledger.complete(id),
+            UnresolvedDelivery::NotifiedAtDeadline => {
+                self.ledger.complete_with_notice_at_deadline(id, Notice::Scrapped);
+            }
+        }
+        if self.unconfirmed.len() >= MAX_UNCONFIRMED_DELIVERIES {
+            let oldest = self.unconfirmed.pop_first();
+            oldest.into_iter().for_each(|(id, delivery)| self.settle_delivery(id, &delivery, sender));
+        }
+        self.unconfirmed.insert(id, UnconfirmedDelivery { packet, state, settles_at });
+        if let Some(at) = Instant::now().checked_add(settle_time) {
+            self.scheduled_rounds.schedule(at);
+        }
+    }
+
+    /// Ends the doubt about the deliveries whose settle time is over.
+    pub(super) fn settle_deliveries(&mut self, sender: &Sender) {
+        let now = self.clock.now();
+        let due = self.unconfirmed.extract_if(.., |_, delivery| delivery.settles_at <= now);
+        for (id, delivery) in due.collect::<Vec<_>>() {
+            self.settle_delivery(id, &delivery, sender);
+        }
+    }
+
+    fn settle_delivery(&mut self, id: PacketId, delivery: &UnconfirmedDelivery, sender: &Sender) {
+        if sender.unresolved_delivery(self.clock.now()) == UnresolvedDelivery::NotifiedAtDeadline {
+            self.doubtful_responses.count(DoubtEvent::Unresolved, &format_args!("packet {}", id.0));
+            self.ledger.replace_completion_with_notice(&delivery.packet, Notice::Scrapped);
+        }
+    }
+
+    /// Keeps a delivery that was confirmed.
+    fn confirm_delivery(&mut self, id: PacketId) {
+        self.unconfirmed.remove(&id);
+        self.ledger.acknowledge_notices(&[id]);
+    }
+}
+
+impl Inner {
+    /// Resolves the doubt about a delivered packet by the outcomes that its call may have had; a single one is
+    /// certain. Returns whether the packet is dispatched again although its call may still be in progress.
+    pub(super) fn resolve_packet(&mut self, id: PacketId, possible: &[PacketOutcome]) -> bool {
+        let is_completion = |(outcome, completed): &PacketOutcome| *completed || *outcome == Outcome::Done;
+        let is_certain = possible.len() == 1;
+        if !self.host.unconfirmed.contains_key(&id) {
+            return false;
+        }
+        if possible.iter().all(is_completion) {
+            if is_certain {
+                self.host.confirm_delivery(id);
+            }
+            return false;
+        }
+        let may_have_executed =
+            !is_certain || possible.iter().any(|(outcome, _)| may_have_executed(*outcome));
+        let reopened = self.reopen(id, may_have_executed);
+        reopened && !is_certain
+    }
+
+    /// Takes back a delivery: the packet is dispatched again, or completes with a notice if it may have been
+    /// executed and must not be repeated. Returns whether it is dispatched again.
+    fn reopen(&mut self, id: PacketId, may_have_executed: bool) -> bool {
+        let Inner { sender, host, .. } = self;
+        let Some(UnconfirmedDelivery { packet, state, .. }) = host.unconfirmed.remove(&id) else {
+            return false;
+        };
+        host.doubtful_responses.count(DoubtEvent::Corrected, &format_args!("packet {}", packet.id));
+        let possibly_executed_at =
+            state.possibly_executed_at.or(state.in_flight_since.filter(|_| may_have_executed));
+        let state = DispatchState { possibly_executed_at, in_flight_since: None, ..state };
+        let may_repeat =
+            !may_have_executed || host.category(&packet).is_some_and(|category| sender.may_repeat(category));
+        if !may_repeat || host.ledger.reopen(&packet, state).is_err() {
+            host.ledger.replace_completion_with_notice(&packet, Notice::Scrapped);
+            return false;
+        }
+        match host.sender_packet(&packet) {
+            Ok(reopened) => sender.accept(host.clock.now(), reopened),
+            Err(_) => host.queue_notice(id, Notice::Scrapped),
+        }
+        true
+    }
+}
--- a/crates/sailcart-sender/src/exchange/host_state.rs
+++ b/crates/sailcart-sender/src/exchange/host_state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::clock::Clock;
+use super::confirmation::{DoubtCounts, UnconfirmedDelivery};
 use super::directory::Directory;
 use super::invariants::{Invariant, Violations};
 use super::packets::{SubmitReply, reply_all};
@@ -52,6 +53,9 @@
     /// By category, whether its packets are sent in the order of their keys.
     pub(super) in_order_by_category: Vec<bool>,
     pub(super) violations: Violations,
+    /// Deliveries whose response is in doubt.
+    pub(super) unconfirmed: BTreeMap<PacketId, UnconfirmedDelivery>,
+    pub(super) doubtful_responses: DoubtCounts,
 }
 
 impl HostState {
@@ -78,6 +82,8 @@
             scheduled_rounds: ScheduledRounds::default(),
             unacknowledged,
             violations: Violations::default(),
+            unconfirmed: BTreeMap::new(),
+            doubtful_responses: DoubtCounts::default(),
             in_order_by_category: settings.categories.iter().map(|category| category.in_order).collect(),
         }
     }
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 
 mod calls;
 mod clock;
+mod confirmation;
 pub mod directory;
 mod host;
 mod host_state;
@@ -78,6 +79,13 @@
         read(&mut self.inner.borrow().host.ledger.pending_notices())
     }
 
+    /// Number of notices that the platform has not acknowledged, without those that wait for the deadline of a
+    /// packet that may have been delivered.
+    pub fn due_notices(&self) -> usize {
+        let host = &self.inner.borrow().host;
+        host.ledger.due_notices(|deadline| host.clock.is_past(deadline))
+    }
+
     /// Calls `read` with the pending notices that may be sent now: those that this process or a later one can
     /// no longer contradict by delivering the packet.
     pub fn sendable_notices<T>(
@@ -146,9 +154,15 @@
         }
     }
 
+    /// Logs what was counted of responses that may belong to another call.
+    pub fn log_doubtful_responses(&self) {
+        log::info!("{}", self.inner.borrow().host.doubtful_responses);
+    }
+
     fn run_round(self: &Rc<Self>, endpoints: &Rc<Endpoints>) {
         let Inner { sender, host, stopped } = &mut *self.inner.borrow_mut();
         host.scheduled_rounds.remove_due(Instant::now());
+        host.settle_deliveries(sender);
         if !*stopped || !host.waiting_clients.is_empty() {
             sender.decide(host.clock.now(), host);
         }
@@ -163,7 +177,7 @@
         for call in host.take_calls() {
             tokio::task::spawn_local(endpoints.clone().execute(call, self.clone()));
         }
-        if host.ledger.pending_notices().next().is_some() {
+        if host.ledger.due_notices(|deadline| host.clock.is_past(deadline)) > 0 {
             self.notice_queued.notify_one();
         }
     }
--- a/crates/sailcart-sender/src/exchange/packets.rs
+++ b/crates/sailcart-sender/src/exchange/packets.rs
@@ -156,9 +156,14 @@
         }
     }
 
+    /// The category of a packet, if the settings contain it.
+    pub(super) fn category(&self, packet: &Packet) -> Option<CategoryId> {
+        self.names.categories.get(&*packet.category).copied().map(CategoryId)
+    }
+
     /// Converts a packet for the sender. Fails with the kind of the first name that the settings do not
     /// contain.
-    fn sender_packet(&mut self, packet: &Packet) -> Result<sailcart::Packet, &'static str> {
+    pub(super) fn sender_packet(&mut self, packet: &Packet) -> Result<sailcart::Packet, &'static str> {
         let state = self.ledger.dispatch_state(packet.number);
         let category = self.names.categories.get(&*packet.category).ok_or("category")?;
         let customer = match &packet.customer {
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -92,7 +92,7 @@
         }
     };
     spawn_local(reload(sighup, config.file, read, reload_target));
-    spawn_local(endpoints.clone().sweep());
+    spawn_local(endpoints.clone().sweep(exchange.clone()));
     spawn_local(exchange.clone().run_rounds(config.host_settings.min_round_interval, endpoints.clone()));
     let listener = bind(config.listen).await.map_err(|e| with_key("listen", e))?;
     log::info!("{} listens on {}", config.name, config.listen);
--- a/crates/sailcart-sender/src/life/stop.rs
+++ b/crates/sailcart-sender/src/life/stop.rs
@@ -38,7 +38,7 @@
         Outstanding {
             packets: exchange.packets_in_flight(),
             connections: clients.open_connections(),
-            notices: exchange.pending_notices(|pending| pending.count()),
+            notices: exchange.due_notices(),
             unwritten: exchange.unwritten_groups(),
         }
     }
@@ -61,6 +61,7 @@
     if let Err(error) = drain_accept_queue(clients, accepting, start).await {
         log::warn!("clients: code=not_accepted {error}");
     }
+    exchange.log_doubtful_responses();
     let Outstanding { packets, connections, notices, unwritten } = Outstanding::now(exchange, clients);
     log::info!(
         "{packets} packets still out, {connections} connections still open, {notices} notices still owed, {unwritten} changes unwritten, {} violations",
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -30,6 +30,8 @@
     /// After the packet's deadline no process dispatches it again. `None` for a notice of a previous
     /// process, whose record is on disk.
     deadline: Option<Moment>,
+    /// Sent only once the packet's deadline has passed: it may have been delivered.
+    waits_for_deadline: bool,
 }
 
 /// The most recently completed packets by the id that the client chose.
@@ -143,8 +145,10 @@
                 Record::PendingNotice(number, client_id, notice) => {
                     self.completed_ids.insert(&client_id, None);
                     self.next_number = self.next_number.max(number.0 + 1);
-                    self.pending_notices
-                        .insert(number, PendingNotice { id: client_id, notice, deadline: None });
+                    self.pending_notices.insert(
+                        number,
+                        PendingNotice { id: client_id, notice, deadline: None, waits_for_deadline: false },
+                    );
                 }
                 Record::Completed(number, client_id, rejection) => {
                     self.completed_ids.insert(&client_id, rejection);
@@ -243,6 +247,11 @@
         self.held.values().map(|held| held.packet.clone()).collect()
     }
 
+    fn fits(&self, required_bytes: u64) -> bool {
+        self.store.live_bytes() + self.reserved_bytes + required_bytes
+            <= self.store.options().max_live_bytes()
+    }
+
     /// Accepts a packet and records it.
     ///
     /// # Errors
@@ -251,7 +260,7 @@
     pub fn accept(&mut self, packet: Packet) -> io::Result<()> {
         let (key, value) = (key(RecordKind::Packet, packet.number), records::encode_packet(&packet));
         let required = Store::<Disk>::live_size(&key, &value) + Self::reservation(&packet);
-        if self.store.live_bytes() + self.reserved_bytes + required > self.store.options().max_live_bytes() {
+        if !self.fits(required) {
             if !std::mem::replace(&mut self.no_space_logged, true) {
                 log::warn!(
                     "journal: code=no_room for more packets; new ones are dismissed until others complete"
@@ -411,6 +420,16 @@
 
     /// Completes a packet and records its notice as pending.
     pub fn complete_with_notice(&mut self, number: PacketId, notice: Notice) {
+        self.complete_with(number, notice, false);
+    }
+
+    /// Completes a packet that may have been delivered, and records its notice as pending. It may be sent once
+    /// the packet's deadline has passed, or by a later process.
+    pub fn complete_with_notice_at_deadline(&mut self, number: PacketId, notice: Notice) {
+        self.complete_with(number, notice, true);
+    }
+
+    fn complete_with(&mut self, number: PacketId, notice: Notice, waits_for_deadline: bool) {
         let Some(removed) = self.remove(number, None) else { return };
         let client_id = removed.packet.id.clone();
         let removals = [RecordKind::Packet, RecordKind::DispatchState]
@@ -421,11 +440,71 @@
             records::encode_pending_notice(&client_id, &notice),
         ));
         self.next_number = self.next_number.max(number.0 + 1);
+        let deadline = Some(removed.packet.deadline);
         self.pending_notices
-            .insert(number, PendingNotice { id: client_id, notice, deadline: Some(removed.packet.deadline) });
+            .insert(number, PendingNotice { id: client_id, notice, deadline, waits_for_deadline });
         self.write_or_defer(ChangeGroup { packet: number, changes });
     }
 
+    /// The notices that the platform has not acknowledged, without those that wait for the deadline of a
+    /// packet that may have been delivered.
+    pub fn due_notices(&self, has_passed: impl Fn(Moment) -> bool) -> usize {
+        let is_due = |pending: &&PendingNotice| {
+            !pending.waits_for_deadline || pending.deadline.is_none_or(&has_passed)
+        };
+        self.pending_notices.values().filter(is_due).count()
+    }
+
+    /// Replaces the completion of a packet by a notice at its deadline, which is recorded as pending: it may
+    /// not have been delivered. Does nothing if such a notice is pending already.
+    pub fn replace_completion_with_notice(&mut self, packet: &Packet, notice: Notice) {
+        if self.pending_notices.contains_key(&packet.number) {
+            return;
+        }
+        let pending = records::encode_pending_notice(&packet.id, &notice);
+        let changes = vec![
+            OwnedChange::Delete(key(RecordKind::Completed, packet.number)),
+            OwnedChange::Put(key(RecordKind::PendingNotice, packet.number), pending),
+        ];
+        let (id, deadline) = (packet.id.clone(), Some(packet.deadline));
+        self.pending_notices
+            .insert(packet.number, PendingNotice { id, notice, deadline, waits_for_deadline: true });
+        self.write_or_defer(ChangeGroup { packet: packet.number, changes });
+    }
+
+    /// Takes back the completion of a packet, or its notice that waits for its deadline, so that it can be
+    /// dispatched again. Both are recorded before this returns.
+    ///
+    /// # Errors
+    /// Those of [`accept`](Self::accept). The packet stays completed then.
+    pub fn reopen(&mut self, packet: &Packet, state: DispatchState) -> io::Result<()> {
+        let number = packet.number;
+        let (value, state_value) = (records::encode_packet(packet), records::encode_dispatch_state(&state));
+        let packet_key = key(RecordKind::Packet, number);
+        if !self.fits(Store::<Disk>::live_size(&packet_key, &value) + Self::reservation(packet)) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let changes = [
+            OwnedChange::Put(packet_key, value),
+            OwnedChange::Put(key(RecordKind::DispatchState, number), state_value),
+            OwnedChange::Delete(key(RecordKind::PendingNotice, number)),
+            OwnedChange::Delete(key(RecordKind::Completed, number)),
+        ];
+        let written =
+            self.write_after_backlog(&changes.iter().map(OwnedChange::as_change).collect::<Vec<_>>());
+        if let Err(error) = written {
+            // After a failed sync the records may be on disk: they are removed again.
+            let removals = [RecordKind::Packet, RecordKind::DispatchState]
+                .map(|kind| OwnedChange::Delete(key(kind, number)));
+            self.write_or_defer(ChangeGroup { packet: number, changes: removals.into() });
+            return Err(error.into());
+        }
+        self.pending_notices.remove(&number);
+        self.insert(packet.clone());
+        self.set_dispatch_state(number, state);
+        Ok(())
+    }
+
     /// All notices that the platform has not acknowledged.
     pub fn pending_notices(&self) -> impl Iterator<Item = (PacketId, &str, Notice)> {
         self.pending_notices.iter().map(|(number, pending)| (*number, &*pending.id, pending.notice))
@@ -440,6 +519,7 @@
         let all_recorded = self.is_recorded();
         let may_be_sent = move |number: &PacketId, pending: &PendingNotice| match pending.deadline {
             None => true,
+            Some(deadline) if pending.waits_for_deadline => has_passed(deadline),
             Some(deadline) => {
                 all_recorded
                     || has_passed(deadline)
--- a/crates/sailcart-sender/src/memory/pool.rs
+++ b/crates/sailcart-sender/src/memory/pool.rs
@@ -4,14 +4,16 @@
 use std::time::Duration;
 
 use sailcart::EndpointId;
+use sailcart::response_doubt::ConnectionChoice;
 
-use crate::endpoint_connection::EndpointConnection;
-use crate::socket::Socket;
+use crate::endpoint_connection::{EndpointConnection, IdleState};
 
 /// Idle connections by endpoint, the most recently used last in each list and reused first. They are not
 /// grouped by address, since another endpoint may take over an address.
 pub struct Pool {
     idle: HashMap<EndpointId, Vec<EndpointConnection>>,
+    /// Connections on which bytes arrived that no call was waiting for.
+    with_unread_input: Vec<(EndpointId, EndpointConnection)>,
     /// A connection that has been idle for this long is closed.
     max_idle_time: Duration,
     /// Maximum number of idle connections over all endpoints.
@@ -21,26 +23,55 @@
 impl Pool {
     /// An empty pool with the given limits.
     pub fn new(max_idle_time: Duration, max_connections: usize) -> Self {
-        Pool { idle: HashMap::new(), max_idle_time, max_connections }
+        Pool { idle: HashMap::new(), with_unread_input: Vec::new(), max_idle_time, max_connections }
     }
 
-    /// Removes and returns a connection on which a call can be sent, if there is one.
-    pub fn take(&mut self, endpoint: EndpointId) -> Option<EndpointConnection> {
+    /// Removes and returns a connection on which a call can be sent, if there is one. A call that was answered
+    /// in doubt at least `settle_time` ago is no longer in doubt.
+    pub fn take(
+        &mut self,
+        endpoint: EndpointId,
+        choice: ConnectionChoice,
+        settle_time: Duration,
+    ) -> Option<EndpointConnection> {
+        if choice == ConnectionChoice::New {
+            return None;
+        }
         let idle = self.idle.get_mut(&endpoint)?;
-        while let Some(last) = idle.pop() {
-            match self.max_idle_time.checked_sub(last.idle_time()) {
-                None => last.log_end("idle"),
-                Some(_) if is_unusable(&last.socket) => last.log_end("peer_closed"),
-                Some(_) => return Some(last),
+        let is_suitable = |connection: &mut EndpointConnection| {
+            connection.matcher.settle(connection.age(), settle_time);
+            choice == ConnectionChoice::Any || !connection.matcher.has_doubt()
+        };
+        while let Some(position) = idle.iter_mut().rposition(is_suitable) {
+            let mut connection = idle.remove(position);
+            match self.max_idle_time.checked_sub(connection.idle_time()) {
+                None => connection.log_end("idle"),
+                Some(_) => match connection.check_input() {
+                    IdleState::Quiet => return Some(connection),
+                    IdleState::Closed => connection.log_end("peer_closed"),
+                    IdleState::Unread => self.with_unread_input.push((endpoint, connection)),
+                },
             }
         }
         None
     }
 
-    /// Adds a connection that became idle, or closes it if the pool is full.
-    pub fn put(&mut self, endpoint: EndpointId, mut connection: EndpointConnection) {
+    /// Removes and returns the connections on which bytes arrived that no call was waiting for, as far as
+    /// [`take`](Self::take) and [`sweep`](Self::sweep) have found any.
+    pub fn take_with_unread_input(&mut self) -> Vec<(EndpointId, EndpointConnection)> {
+        std::mem::take(&mut self.with_unread_input)
+    }
+
+    /// Whether another connection may be kept, besides `others` that are not in the pool.
+    pub fn has_room(&self, others: usize) -> bool {
+        self.len() + others < self.max_connections
+    }
+
+    /// Adds a connection that became idle, or closes it if the pool is full, together with `others` that are
+    /// not in the pool.
+    pub fn put(&mut self, endpoint: EndpointId, mut connection: EndpointConnection, others: usize) {
         connection.become_idle();
-        if self.len() >= self.max_connections {
+        if !self.has_room(others) {
             return connection.log_end("too_many");
         }
         self.idle.entry(endpoint).or_default().push(connection);
@@ -53,6 +84,14 @@
         }
     }
 
+    /// Closes the endpoint's connection that has been idle the longest, if there is one.
+    pub fn close_oldest(&mut self, endpoint: EndpointId, code: &str) {
+        let Some(idle) = self.idle.get_mut(&endpoint) else { return };
+        if !idle.is_empty() {
+            idle.remove(0).log_end(code);
+        }
+    }
+
     /// Closes all idle connections and logs each with this code.
     pub fn close_all(&mut self, code: &str) {
         for endpoint in self.idle.keys().copied().collect::<Vec<_>>() {
@@ -62,28 +101,23 @@
 
     /// Closes connections that have been idle for too long or were closed by their peer.
     pub fn sweep(&mut self) {
-        for idle in self.idle.values_mut() {
-            idle.retain(|connection| {
-                let code = if connection.idle_time() >= self.max_idle_time { "idle" } else { "peer_closed" };
-                let must_close = code == "idle" || is_unusable(&connection.socket);
-                if must_close {
-                    connection.log_end(code);
+        for (endpoint, idle) in &mut self.idle {
+            for mut connection in std::mem::take(idle) {
+                if connection.idle_time() >= self.max_idle_time {
+                    connection.log_end("idle");
+                    continue;
+                }
+                match connection.check_reported_input() {
+                    IdleState::Quiet => idle.push(connection),
+                    IdleState::Closed => connection.log_end("peer_closed"),
+                    IdleState::Unread => self.with_unread_input.push((*endpoint, connection)),
                 }
-                !must_close
-            });
+            }
         }
         self.idle.retain(|_, idle| !idle.is_empty());
     }
 
     fn len(&self) -> usize {
-        self.idle.values().map(Vec::len).sum()
+        self.idle.values().map(Vec::len).sum::<usize>() + self.with_unread_input.len()
     }
 }
-
-/// Whether anything can be read from an idle connection. No bytes are expected there, so a successful read
-/// means that the peer has closed it or sent unrequested bytes, and an error other than `WouldBlock` that
-/// it broke.
-fn is_unusable(stream: &Socket) -> bool {
-    let read = stream.0.try_read(&mut [0]);
-    !matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
-}
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -5,12 +5,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sailcart::EndpointId;
+use sailcart::response_doubt::ConnectionChoice;
+use sailcart::response_matching::{Attribution, Candidates};
+use sailcart::{EndpointId, Outcome, PacketId};
 use tokio::sync::Notify;
 
 use crate::exchange::invariants::{Permit, Refusal};
 use crate::memory::Packet;
-use crate::wire::call::PacketOutcome;
+use crate::response::Response;
+use crate::wire::call::{self, PacketOutcome};
 use crate::wire::http::Head;
 
 /// A call on its way to an endpoint.
@@ -28,12 +31,79 @@
     pub cancelled: Rc<Notify>,
 }
 
+impl Call {
+    /// The ids of its packets, in the order of the call.
+    pub fn packet_ids(&self) -> Vec<&str> {
+        self.packets.iter().map(|packet| &*packet.id).collect()
+    }
+}
+
+/// A call that was sent: what is needed to read a later response as its response.
+#[derive(Debug, PartialEq)]
+pub struct SentCall {
+    /// Number and id of each of its packets.
+    pub packets: Box<[(PacketId, Box<str>)]>,
+}
+
+impl SentCall {
+    /// What is kept of a call.
+    pub fn of(call: &Call) -> Rc<SentCall> {
+        let packets = call.packets.iter().map(|packet| (packet.number, packet.id.clone()));
+        Rc::new(SentCall { packets: packets.collect() })
+    }
+
+    /// The outcome of each of its packets if this is its response.
+    pub fn outcomes(&self, response: &ReceivedResponse) -> Vec<PacketOutcome> {
+        let ids: Vec<&str> = self.packets.iter().map(|(_, id)| &**id).collect();
+        response.outcomes(&ids).unwrap_or_else(|| vec![(Outcome::Error, false); ids.len()])
+    }
+}
+
+/// A response that was received, perhaps not completely.
+#[derive(Debug, PartialEq)]
+pub struct ReceivedResponse {
+    pub status: Option<u16>,
+    pub head: Option<Head>,
+    pub body: Vec<u8>,
+}
+
+impl ReceivedResponse {
+    /// What is kept of a response.
+    pub fn of(response: Response) -> Rc<ReceivedResponse> {
+        let Response { status, head, body, .. } = response;
+        Rc::new(ReceivedResponse { status, head, body })
+    }
+
+    /// The outcomes that this response gives to a call with these packets; `None` if it is incomplete and says
+    /// nothing of them.
+    pub fn outcomes(&self, ids: &[&str]) -> Option<Vec<PacketOutcome>> {
+        // The status alone completes the packet, so that it is not sent again if the rest of the response is
+        // malformed.
+        if call::proves_delivery(self.status, ids.len()) {
+            return Some(vec![(Outcome::Done, true)]);
+        }
+        self.head.as_ref().map(|head| call::packet_outcomes(head, &self.body, ids))
+    }
+}
+
+/// The calls of a connection that are in doubt, each with the responses that may belong to it.
+pub type CallsInDoubt = Vec<Candidates<Rc<SentCall>, Rc<ReceivedResponse>>>;
+
 /// The owner of calls. It permits each call before its first byte is sent, and receives the outcome.
-pub trait CallOwner {
+pub trait CallOwner: 'static {
     /// Waits until a call may be sent in the order of its packets' keys, or it has timed out or was
     /// cancelled.
     fn wait_for_key_order(&self, call: &Call) -> impl Future<Output = ()>;
 
+    /// Which connections may carry a call.
+    fn connection_choice(&self, call: &Call) -> ConnectionChoice;
+
+    /// How long a response stays in doubt.
+    fn settle_time(&self) -> Duration;
+
+    /// Whether a connection in doubt waits for the settle time before it carries another call.
+    fn must_settle_before_reuse(&self) -> bool;
+
     /// Decides, once a call is connected and before its first byte is sent, whether it may still be sent. If
     /// so, it has been recorded in the journal.
     fn permit(&self, call: &Call) -> Result<Permit, Refusal>;
@@ -41,7 +111,22 @@
     /// Whether an endpoint is still listed and live.
     fn is_listed(&self, endpoint: EndpointId) -> bool;
 
-    /// Receives the outcome of each of the call's packets, and the head of the response, which may report a
-    /// limit.
-    fn call_completed(&self, call: &Call, outcomes: &[PacketOutcome], head: Option<&Head>);
+    /// Receives the outcome of each of the call's packets, the head of the response, which may report a
+    /// limit, and whether the response is known to belong to this call.
+    fn call_completed(
+        &self,
+        call: &Call,
+        outcomes: &[PacketOutcome],
+        head: Option<&Head>,
+        attribution: Attribution,
+    );
+
+    /// Receives a response that belongs to no call, as far as it was received.
+    fn extra_response_received(&self, endpoint: EndpointId, head: Option<&Head>);
+
+    /// Receives the calls of a connection that were in doubt, after a response that belongs to no call.
+    /// Returns whether the connection must be closed now, because a packet is to be dispatched again whose
+    /// call may still be in progress there.
+    #[must_use]
+    fn resolve(&self, calls: CallsInDoubt) -> bool;
 }
--- a/crates/sailcart-sender/src/response.rs
+++ b/crates/sailcart-sender/src/response.rs
@@ -1,6 +1,7 @@
 //! Reads one HTTP response from a socket. A large body is passed on in pieces while it is received; a small
 //! one may be collected.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::time::Duration;
 
@@ -38,9 +39,18 @@
     pub first_byte_at: Option<std::time::Instant>,
     /// Number of bytes received after the response, which belong to no call.
     pub bytes_after: usize,
+    /// Equal for responses with equal bytes; set for a collected response that is complete.
+    pub fingerprint: Option<u64>,
+    /// Hash of the bytes of the head.
+    head_hash: u64,
 }
 
 impl Response {
+    /// Whether the peer leaves the connection open after this response, which was received completely.
+    pub fn leaves_open(&self) -> bool {
+        self.fingerprint.is_some() && self.head.as_ref().is_some_and(|head| !head.close)
+    }
+
     /// Whether the connection can be used for another call.
     pub fn is_reusable(&self) -> bool {
         self.complete && self.head.as_ref().is_some_and(|head| !head.close)
@@ -105,18 +115,20 @@
 
 /// Reads one response and collects its body of at most `max_body` bytes. Waits without limit for its first
 /// byte; from then on it must be complete within `read_timeout`. `response` holds what was received so far,
-/// also after a failure and if the future is dropped.
+/// also after a failure and if the future is dropped. `buffer` holds bytes that were received before, and
+/// afterwards those behind the response.
 ///
 /// # Errors
 /// Those of the stream, and [`InvalidData`](io::ErrorKind::InvalidData) for a response that is malformed, too
 /// large or too slow.
 pub async fn read_collected(
     stream: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
     max_body: usize,
     read_timeout: Duration,
     response: &mut Response,
 ) -> io::Result<()> {
-    let mut reader = ResponseReader::new(stream, max_body, None);
+    let mut reader = ResponseReader::new(stream, buffer, max_body, None);
     for _ in 0..=MAX_INTERIM_RESPONSES {
         if reader.buffer.is_empty() {
             reader.read_more().await?;
@@ -126,6 +138,7 @@
         let status = timeout(read_timeout, reader.read_response(response, &mut body)).await;
         // After an interim response, the final one is still to come.
         if status.unwrap_or_else(|_| Err(invalid_data("response incomplete at its time limit")))? >= 200 {
+            response.fingerprint = Some(fingerprint(response.head_hash, &body));
             response.body = body;
             // Bytes after the response were not requested, and would be read as the next response.
             response.bytes_after = reader.buffer.len();
@@ -148,7 +161,8 @@
     time_limit: TimeLimit,
     sink: &mut S,
 ) -> Result<Response, S::Error> {
-    let mut reader = ResponseReader::new(stream, max_body, Some(time_limit));
+    let mut buffer = BytesMut::new();
+    let mut reader = ResponseReader::new(stream, &mut buffer, max_body, Some(time_limit));
     let mut response = Response::default();
     for _ in 0..=MAX_INTERIM_RESPONSES {
         if reader.read_response(&mut response, sink).await? >= 200 {
@@ -162,7 +176,7 @@
 /// Reads responses from a stream.
 struct ResponseReader<'a, Stream> {
     stream: &'a mut Stream,
-    buffer: BytesMut,
+    buffer: &'a mut BytesMut,
     /// Largest body in bytes.
     max_body: usize,
     time_limit: Option<TimeLimit>,
@@ -173,15 +187,13 @@
 }
 
 impl<'a, Stream: AsyncRead + Unpin> ResponseReader<'a, Stream> {
-    fn new(stream: &'a mut Stream, max_body: usize, time_limit: Option<TimeLimit>) -> Self {
-        ResponseReader {
-            stream,
-            buffer: BytesMut::new(),
-            max_body,
-            time_limit,
-            body_bytes: 0,
-            bytes_since_yield: 0,
-        }
+    fn new(
+        stream: &'a mut Stream,
+        buffer: &'a mut BytesMut,
+        max_body: usize,
+        time_limit: Option<TimeLimit>,
+    ) -> Self {
+        ResponseReader { stream, buffer, max_body, time_limit, body_bytes: 0, bytes_since_yield: 0 }
     }
 
     /// Reads a complete response and returns its status.
@@ -204,10 +216,12 @@
 
     async fn read_head<'r>(&mut self, response: &'r mut Response) -> io::Result<&'r Head> {
         loop {
-            if let Some((status, _)) = http::status(&self.buffer).map_err(invalid_data)? {
+            if let Some((status, _)) = http::status(self.buffer).map_err(invalid_data)? {
                 response.status = Some(status);
             }
-            if let Some(head) = self.parse(http::head)? {
+            if let Some((head, used)) = http::head(self.buffer).map_err(invalid_data)? {
+                response.head_hash = hash(&self.buffer[..used]);
+                self.buffer.advance(used);
                 return Ok(response.head.insert(head));
             }
             self.read_more().await?;
@@ -299,7 +313,7 @@
 
     /// Parses a value at the start of the buffer and removes it; `None` if it needs more bytes.
     fn parse<T>(&mut self, parser: impl Fn(&[u8]) -> ParseResult<T>) -> io::Result<Option<T>> {
-        let Some((value, used)) = parser(&self.buffer).map_err(invalid_data)? else { return Ok(None) };
+        let Some((value, used)) = parser(self.buffer).map_err(invalid_data)? else { return Ok(None) };
         self.buffer.advance(used);
         Ok(Some(value))
     }
@@ -318,7 +332,7 @@
         if self.buffer.is_empty() {
             self.buffer.reserve(self.body_bytes.clamp(MIN_READ_BYTES, MAX_PIECE_BYTES));
         }
-        let reading = self.stream.read_buf(&mut self.buffer);
+        let reading = self.stream.read_buf(self.buffer);
         match self.time_limit {
             Some(time_limit) => timeout_at(time_limit.deadline(self.body_bytes), reading).await?,
             None => reading.await,
@@ -326,6 +340,16 @@
     }
 }
 
+fn hash(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn fingerprint(head_hash: u64, body: &[u8]) -> u64 {
+    if body.is_empty() { head_hash } else { hash((head_hash, body)) }
+}
+
 fn invalid_data(message: &'static str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
--- a/crates/sailcart-sender/src/wire/call.rs
+++ b/crates/sailcart-sender/src/wire/call.rs
@@ -67,6 +67,11 @@
     ids.iter().map(outcome_of).collect()
 }
 
+/// Whether the body of a response lists any of these packets.
+pub fn names_any(body: &[u8], ids: &[&str]) -> bool {
+    packet_states(body).unwrap_or_default().iter().any(|(id, _)| ids.contains(&id.as_str()))
+}
+
 /// The endpoint's limit as reported in a response's `X-Load-Report` header, such as `x0=0.4,x1=25`. The
 /// settings name the fields.
 pub fn limit_report(head: &Head, report_fields: &ReportFields) -> Option<LimitReport> {
--- a/crates/sailcart-sender/src/wire/http.rs
+++ b/crates/sailcart-sender/src/wire/http.rs
@@ -30,7 +30,7 @@
 }
 
 /// The head of a response, reduced to what the sender uses.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Head {
     pub status: u16,
     pub body_length: BodyLength,
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -16,6 +16,7 @@
 
 /// Longer than any expected wait in these tests.
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
+const UNREPEATABLE: (&str, &str) = (r#""repeat": "dedup""#, r#""repeat": "fragile""#);
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const OK_WITH_REPORT: &str = "HTTP/1.1 200 OK\r\nX-Load-Report: x0=0.5,x1=25\r\nContent-Length: 0\r\n\r\n";
 const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
@@ -189,3 +190,22 @@
         endpoint.calls_with("a3") == 2 || delivered_elsewhere || has_notice(harness, "a3")
     });
 }
+
+#[test]
+fn a_copy_of_a_refusal_does_not_execute_an_unrepeatable_packet_twice() {
+    let endpoint = ScriptedEndpoint::start(|mut peer| {
+        peer.read_call();
+        peer.write(UNAVAILABLE);
+        while peer.read_call().is_some() {
+            peer.write(UNAVAILABLE);
+            thread::sleep(RESPONSE_TIME);
+            peer.write(OK);
+        }
+    });
+    let harness = start_sender("copy-refusal", &endpoint, &[UNREPEATABLE]);
+    submit_with_patience(&harness, "a1", 4000);
+    harness.wait_until("the packet is called again", |_| endpoint.calls_with("a1") >= 2);
+    // Everything after the first call may have executed the packet.
+    thread::sleep(Duration::from_secs(4));
+    assert_eq!(endpoint.calls_with("a1"), 2, "{}", harness.log());
+}
--- a/crates/sailcart-sender/tests/response_body.rs
+++ b/crates/sailcart-sender/tests/response_body.rs
@@ -163,9 +163,14 @@
             let mut stream =
                 TcpStream::connect(serve_once(bytes.clone())).await.expect("connect to the listener");
             let mut response = Response::default();
-            let result =
-                response::read_collected(&mut stream, max_bytes, Duration::from_secs(20), &mut response)
-                    .await;
+            let result = response::read_collected(
+                &mut stream,
+                &mut bytes::BytesMut::new(),
+                max_bytes,
+                Duration::from_secs(20),
+                &mut response,
+            )
+            .await;
             result.map(|()| response.body)
         };
         assert_eq!(run(collect_body(3000)).expect(headers), body(3000));
--- a/src/control.rs
+++ b/src/control.rs
@@ -49,6 +49,8 @@
 use crate::decaying_counter::DecayingCounter;
 use crate::host::*;
 use crate::listing::DestinationList;
+use crate::response_doubt::{CallNeeds, ConnectionChoice, ResponseDoubt, UnresolvedDelivery};
+use crate::response_matching::Attribution;
 use crate::state::*;
 use crate::token_bucket::TokenBucket;
 
@@ -521,6 +523,8 @@
     list_request_at: Option<Duration>,
     /// Consecutive failures to get the destination list.
     list_request_failures: u32,
+    /// Whether responses are to be expected that belong to no call.
+    response_doubt: ResponseDoubt,
 }
 
 impl Sender {
@@ -711,7 +715,9 @@
             packet.deadline.saturating_sub(category.patience.saturating_sub(category.soft_limit));
         if let (true, Some(key)) = (category.in_order, packet.key) {
             let key_queue = self.key_queues.entry(key).or_default();
-            key_queue.packets.push_back(packet.id);
+            // A packet whose delivery turned out to be wrong goes before those accepted after it.
+            let position = key_queue.packets.partition_point(|other| *other < packet.id);
+            key_queue.packets.insert(position, packet.id);
             key_queue.blocked_until = key_queue.blocked_until.max(
                 packet.possibly_executed_at.map_or(now, |_| now + self.parameters.settings.key_block_time),
             );
@@ -786,6 +792,21 @@
         elapsed: Duration,
         outcome: Outcome,
         completed: bool,
+    ) {
+        self.record_attributed_outcome(now, id, elapsed, outcome, completed, Attribution::Certain);
+    }
+
+    /// Like [`record_outcome`](Self::record_outcome), with whether the response is known to belong to the
+    /// dispatch. In doubt, any outcome but a completion leaves it open whether the dispatch was or will be
+    /// executed.
+    pub fn record_attributed_outcome(
+        &mut self,
+        now: Duration,
+        id: PacketId,
+        elapsed: Duration,
+        outcome: Outcome,
+        completed: bool,
+        attribution: Attribution,
     ) {
         self.now = now.max(self.now);
         let Some(tracked) = self.packets.get_mut(&id) else { return };
@@ -807,8 +828,9 @@
         tracked.packet.dispatches = tracked.packet.dispatches.max(min_dispatches);
         let (state, key, destination) = (tracked.state, tracked.packet.key, tracked.packet.destination);
         let (PacketState::InFlight(call, _) | PacketState::Withdrawn(call)) = state else { return };
-        let sent_at = self.learn_from(call, elapsed, outcome);
-        let may_still_execute = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        let sent_at = self.learn_from(call, elapsed, outcome, attribution);
+        let may_still_execute = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+            || (attribution == Attribution::InDoubt && outcome != Outcome::Done && !completed);
         if let (true, Some(key_queue)) =
             (may_still_execute, key.and_then(|key| self.key_queues.get_mut(&key)))
         {
@@ -829,8 +851,70 @@
         }
     }
 
+    /// How long a response stays in doubt: the time within which an endpoint that answers at all would have
+    /// sent the response that a copy displaced.
+    pub fn settle_time(&self) -> Duration {
+        let parameters = &self.parameters;
+        parameters
+            .mean_answer_time
+            .saturating_mul(STALL_FACTOR)
+            .clamp(parameters.min_soft_limit / 8, parameters.min_soft_limit)
+    }
+
+    /// Which connections may carry a call with these packets.
+    pub fn connection_choice(&self, now: Duration, packets: &[PacketId]) -> ConnectionChoice {
+        let tracked = || packets.iter().filter_map(|id| self.packets.get(id));
+        let needs_exact_outcome = |tracked: &TrackedPacket| {
+            tracked.category.repeat == Repeat::Unrepeatable || tracked.category.in_order
+        };
+        let is_probe = |tracked: &TrackedPacket| match tracked.state {
+            PacketState::InFlight(call, _) => {
+                self.upstreams[&self.calls[&call].upstream_id].health.receives_only_probes()
+            }
+            _ => false,
+        };
+        let needs = CallNeeds {
+            exact_outcome: tracked().any(needs_exact_outcome),
+            is_probe: tracked().any(is_probe),
+        };
+        self.response_doubt.connection_choice(now, needs)
+    }
+
+    /// Records a response that belongs to no call. A Retry-After wait in it applies nevertheless: it may be
+    /// the response that a copy displaced.
+    pub fn record_extra_response(&mut self, now: Duration, endpoint: EndpointId, wait: Option<Duration>) {
+        self.response_doubt.record_extra_response(now);
+        let Some(upstream_id) = self.endpoints.get(&endpoint).map(|endpoint| endpoint.upstream_id) else {
+            return;
+        };
+        if let (Some(upstream), Some(wait)) = (self.upstreams.get_mut(&upstream_id), wait) {
+            upstream.blocked_until = upstream.blocked_until.max(now.saturating_add(wait));
+        }
+    }
+
+    /// Whether a connection in doubt waits for [`settle_time`](Self::settle_time) before its next call.
+    pub fn must_settle_before_reuse(&self, now: Duration) -> bool {
+        self.response_doubt.must_settle_before_reuse(now)
+    }
+
+    /// How a delivery completes whose response is still in doubt after the settle time.
+    pub fn unresolved_delivery(&self, now: Duration) -> UnresolvedDelivery {
+        self.response_doubt.unresolved_delivery(now)
+    }
+
+    /// Whether packets of a category may be dispatched again after a dispatch that may have executed.
+    pub fn may_repeat(&self, category: CategoryId) -> bool {
+        self.parameters.settings.categories[category.0].repeat != Repeat::Unrepeatable
+    }
+
     /// Learns from the outcome of a call, once for all its packets. Returns when the call was sent.
-    fn learn_from(&mut self, call: u64, elapsed: Duration, outcome: Outcome) -> Duration {
+    fn learn_from(
+        &mut self,
+        call: u64,
+        elapsed: Duration,
+        outcome: Outcome,
+        attribution: Attribution,
+    ) -> Duration {
         let (now, parameters) = (self.now, &self.parameters);
         let jitter = self.rng.as_mut().map_or(0.5, |rng| rng.random());
         let Some(call) = self.calls.get_mut(&call) else { return now };
@@ -860,6 +944,8 @@
             1.0
         };
         match outcome {
+            Outcome::Done
+                if !ResponseDoubt::proves_health(attribution, upstream.health.receives_only_probes()) => {}
             Outcome::Done => {
                 endpoint.concurrency_limit = (endpoint.concurrency_limit + 1).min(parameters.settings.slots);
                 answers.add(now, parameters.min_soft_limit * 8);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decides which packet is dispatched to which endpoint of an outside receiver, and when.
 //!
-//! [`control`] makes every decision, and [`host`] is the interface between it and the program that carries
-//! the packets. The other modules hold data and decide nothing: the destination list (`listing`), the state
+//! [`control`] makes every decision, with [`response_matching`] and [`response_doubt`] for responses that may
+//! belong to another call. [`host`] is the interface between them and the program that carries the packets.
+//! The other modules hold data and decide nothing: the destination list (`listing`), the state
 //! of destinations, endpoints and calls (`state`), a map that counts its accesses (`counting_map`), a token
 //! bucket (`token_bucket`) and an exponentially decaying counter (`decaying_counter`).
 
@@ -10,6 +11,8 @@
 mod decaying_counter;
 pub mod host;
 mod listing;
+pub mod response_doubt;
+pub mod response_matching;
 mod state;
 mod token_bucket;
 
--- /dev/null
+++ b/src/response_doubt.rs
@@ -0,0 +1,94 @@
+//! Decides how responses in doubt are handled: those of which it is not known whether they belong to their
+//! call ([`Attribution::InDoubt`]).
+//!
+//! A response in doubt that reports a delivery completes its packet provisionally: its slot is free, and the
+//! host keeps the packet until the doubt has ended. One that reports anything else counts as a possible
+//! execution, and the host closes the connection, which withdraws the call from the endpoint.
+//!
+//! As long as no endpoint has been seen to write a response twice, a provisional delivery becomes final after
+//! the settle time. From then on for [`EXTRA_RESPONSE_MEMORY`], a connection in doubt carries no further call
+//! until it has settled, and a delivery whose doubt is never resolved completes with a notice at its deadline: a
+//! notice of a packet that was delivered is harmless, a packet without either is lost.
+
+use std::time::Duration;
+
+use crate::response_matching::Attribution;
+
+/// How long extra responses are expected again after one was seen.
+const EXTRA_RESPONSE_MEMORY: Duration = Duration::from_secs(600);
+
+/// Which connections may carry a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ConnectionChoice {
+    /// Any idle connection, or a new one.
+    Any,
+    /// An idle connection on which no call is in doubt, or a new one.
+    Settled,
+    /// A new connection: its first response is certain.
+    New,
+}
+
+/// How a delivery whose response stayed in doubt completes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnresolvedDelivery {
+    /// As delivered.
+    Completed,
+    /// With a notice of its failure at its deadline.
+    NotifiedAtDeadline,
+}
+
+/// What a call needs of its response.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallNeeds {
+    /// A packet may not be executed twice, or others wait for its completion.
+    pub exact_outcome: bool,
+    /// The response decides whether an upstream counts as healthy again.
+    pub is_probe: bool,
+}
+
+/// What has been learned about responses that were written twice.
+#[derive(Clone, Debug, Default)]
+pub struct ResponseDoubt {
+    last_extra_response_at: Option<Duration>,
+}
+
+impl ResponseDoubt {
+    /// Records a response that belongs to no call.
+    pub fn record_extra_response(&mut self, now: Duration) {
+        self.last_extra_response_at = Some(now);
+    }
+
+    /// Whether further extra responses are expected.
+    pub fn extra_responses_expected(&self, now: Duration) -> bool {
+        self.last_extra_response_at.is_some_and(|at| now.saturating_sub(at) < EXTRA_RESPONSE_MEMORY)
+    }
+
+    /// Which connections may carry a call.
+    pub fn connection_choice(&self, now: Duration, needs: CallNeeds) -> ConnectionChoice {
+        match (needs.is_probe, needs.exact_outcome) {
+            (true, _) => ConnectionChoice::New,
+            (_, true) if self.extra_responses_expected(now) => ConnectionChoice::New,
+            (_, true) => ConnectionChoice::Settled,
+            _ => ConnectionChoice::Any,
+        }
+    }
+
+    /// Whether a connection in doubt waits for the settle time before it carries another call.
+    pub fn must_settle_before_reuse(&self, now: Duration) -> bool {
+        self.extra_responses_expected(now)
+    }
+
+    /// How a delivery completes whose response is still in doubt after the settle time.
+    pub fn unresolved_delivery(&self, now: Duration) -> UnresolvedDelivery {
+        if self.extra_responses_expected(now) {
+            UnresolvedDelivery::NotifiedAtDeadline
+        } else {
+            UnresolvedDelivery::Completed
+        }
+    }
+
+    /// Whether the success in a response says anything about the health of an upstream.
+    pub fn proves_health(attribution: Attribution, receives_only_probes: bool) -> bool {
+        attribution == Attribution::Certain || !receives_only_probes
+    }
+}
