A copy of an acknowledgement no longer ends notices that the platform refused

Callers saw (in our test): a notice never told; the platform had refused its call (503), and a copy of the 204 that acknowledged another call was read first. All 204s are equal, so nothing in the bytes tells them apart. Evidence: red before: 'notices: told [1]' 5 ms after the copy, nothing more for 10 s; the platform had taken [0] only. Change: each call with notices goes on a new connection, whose first response is nobody else's (NOTICE_CONNECTIONS in the policy); the kept one serves only where this machine has no socket. The list stays on its kept connection: a copy of a list is put in force again without effect or rejected by its version, and then the connection is closed (it was kept before, so the full list asked for next could have been answered by the watch's response). Neither connection is used while bytes lie unread on it.

--- a/crates/sailcart-sender/src/platform/connection.rs
+++ b/crates/sailcart-sender/src/platform/connection.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sailcart::response_doubt::ConnectionChoice;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::local_errors;
 use crate::response::{self, BodySink, Response, TimeLimit};
 use crate::socket::Socket;
 
@@ -35,6 +37,8 @@
     pub(super) stream: Option<Socket>,
     /// Limits the time for connecting alone; the response has a limit of its own.
     pub(super) connect_timeout: Duration,
+    /// Which connections may carry a call.
+    pub(super) choice: ConnectionChoice,
 }
 
 impl Connection {
@@ -103,15 +107,44 @@
 
     /// Sends a call on the idle connection or a new one, and returns the connection.
     async fn send(&mut self, bytes: &[u8]) -> io::Result<Socket> {
-        let (idle, address) = (self.stream.take(), self.address());
-        let mut stream = match idle {
-            Some(stream) => stream,
-            None => Socket(timeout(self.connect_timeout, TcpStream::connect(address)).await??),
-        };
-        stream.0.set_nodelay(true)?;
+        let mut stream = self.connect().await?;
         stream.write_all(bytes).await?;
         Ok(stream)
     }
+
+    /// Returns the idle connection if it may carry a call, otherwise a new one. Where this machine is short of
+    /// sockets, the idle connection is better than none.
+    async fn connect(&mut self) -> io::Result<Socket> {
+        let (idle, address) = (self.stream.take(), self.address());
+        let mut idle = idle.filter(|stream| has_no_input(stream, address));
+        if self.choice == ConnectionChoice::Any
+            && let Some(stream) = idle.take()
+        {
+            return Ok(stream);
+        }
+        let connected = timeout(self.connect_timeout, TcpStream::connect(address)).await?;
+        match (connected, idle) {
+            (Ok(stream), _) => stream.set_nodelay(true).map(|()| Socket(stream)),
+            (Err(error), Some(stream)) if local_errors::is_local_error(&error) => Ok(stream),
+            (Err(error), _) => Err(error),
+        }
+    }
+
+    /// Closes the idle connection: what was received on it last may belong to another call.
+    pub(super) fn close(&mut self, code: &str) {
+        if self.stream.take().is_some() {
+            log::info!("platform {}: connection ended, code={code}", self.address());
+        }
+    }
+}
+
+/// Whether nothing lies unread on an idle connection, neither bytes that no call is waiting for nor its end.
+fn has_no_input(stream: &Socket, address: SocketAddr) -> bool {
+    let is_quiet = stream.is_quiet();
+    if !is_quiet {
+        log::info!("platform {address}: connection ended, code=peer_closed");
+    }
+    is_quiet
 }
 
 /// Bounds on the response to a call.
--- a/crates/sailcart-sender/src/platform/follower.rs
+++ b/crates/sailcart-sender/src/platform/follower.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sailcart::response_doubt::LIST_CONNECTIONS;
 use sailcart_terms::ValueError;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -167,6 +168,7 @@
                 address_receiver,
                 stream: None,
                 connect_timeout: schedule.call_timeout(),
+                choice: LIST_CONNECTIONS,
             },
             schedule,
             max_endpoints,
@@ -268,6 +270,7 @@
             ListError::ConnectionFailed(_) => self.back_off(&error, Failure::CallFailed).await,
             ListError::Status(_) => self.back_off(&error, Failure::Overloaded).await,
             ListError::Malformed(_) => {
+                self.connection.close("malformed");
                 // Fetch the full list next, unless it is known to be too large.
                 self.watch_from = self.version_in_force.filter(|_| self.full_list_at.is_some());
                 self.back_off(&error, Failure::CallFailed).await;
--- a/crates/sailcart-sender/src/platform/notices.rs
+++ b/crates/sailcart-sender/src/platform/notices.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use sailcart::PacketId;
+use sailcart::response_doubt::NOTICE_CONNECTIONS;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -129,7 +130,12 @@
 impl Worker {
     fn new(address_receiver: AddressReceiver) -> Self {
         Worker {
-            connection: Connection { address_receiver, stream: None, connect_timeout: Duration::MAX },
+            connection: Connection {
+                address_receiver,
+                stream: None,
+                connect_timeout: Duration::MAX,
+                choice: NOTICE_CONNECTIONS,
+            },
             logged_error: None,
             consecutive_losses: 0,
         }
--- a/crates/sailcart-sender/src/socket.rs
+++ b/crates/sailcart-sender/src/socket.rs
@@ -6,9 +6,11 @@
 //! system call for each wait.
 
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -30,6 +32,17 @@
         debug_assert!(ended.is_err());
     }
 
+    /// Whether a read would wait: neither bytes nor the end of the connection have been received. Asks the
+    /// kernel, as the runtime learns of input only when it polls.
+    pub fn is_quiet(&self) -> bool {
+        loop {
+            match SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                result => return result.is_err_and(|error| error.kind() == ErrorKind::WouldBlock),
+            }
+        }
+    }
+
     /// Splits the connection into halves that can be used concurrently.
     pub fn split(&mut self) -> (ReadHalf<'_>, WriteHalf<'_>) {
         (ReadHalf(&self.0), WriteHalf(&self.0))
--- a/crates/sailcart-sender/tests/common/mod.rs
+++ b/crates/sailcart-sender/tests/common/mod.rs
@@ -27,7 +27,7 @@
     }
 
     /// Reads one request; `None` if the connection ends before it is complete.
-    fn read(stream: &mut impl BufRead) -> Option<Call> {
+    pub fn read(stream: &mut impl BufRead) -> Option<Call> {
         let mut line = || {
             let mut line = String::new();
             (stream.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -12,7 +12,7 @@
 mod common;
 
 use common::harness::Harness;
-use common::{http_response, list_entry, submit};
+use common::{Call, http_response, list_entry, submit};
 
 /// Longer than any expected wait in these tests.
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
@@ -20,6 +20,7 @@
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const OK_WITH_REPORT: &str = "HTTP/1.1 200 OK\r\nX-Load-Report: x0=0.5,x1=25\r\nContent-Length: 0\r\n\r\n";
 const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+const NO_CONTENT: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 /// How long the endpoints of the report took to respond.
 const RESPONSE_TIME: Duration = Duration::from_millis(79);
 
@@ -209,3 +210,63 @@
     thread::sleep(Duration::from_secs(4));
     assert_eq!(endpoint.calls_with("a1"), 2, "{}", harness.log());
 }
+
+/// A platform that writes a copy of its first 204 behind the second call with notices on a connection, and
+/// refuses that call. Returns its address and the lines of the calls that it acknowledged.
+fn start_platform_with_copies(list: String) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+    let address = listener.local_addr().expect("read the local address");
+    let acknowledged = Arc::new(Mutex::new(Vec::new()));
+    let lines = acknowledged.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (list, lines) = (list.clone(), lines.clone());
+            thread::spawn(move || serve_platform_connection(stream, &list, &lines));
+        }
+    });
+    (address, acknowledged)
+}
+
+fn serve_platform_connection(mut stream: TcpStream, list: &str, acknowledged: &Mutex<Vec<String>>) {
+    let Ok(reader) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(reader);
+    let mut notice_calls = 0;
+    while let Some(call) = Call::read(&mut reader) {
+        let response = if call.start.starts_with("GET ") {
+            thread::sleep(Duration::from_millis(200));
+            http_response("200 OK", "", list).expect("an HTTP response")
+        } else if notice_calls == 1 {
+            notice_calls += 1;
+            if stream.write_all(NO_CONTENT.as_bytes()).is_err() {
+                return;
+            }
+            thread::sleep(RESPONSE_TIME);
+            UNAVAILABLE.to_owned()
+        } else {
+            notice_calls += 1;
+            let body = String::from_utf8_lossy(&call.body).into_owned();
+            acknowledged.lock().expect("mutex is not poisoned").extend(body.lines().map(str::to_owned));
+            NO_CONTENT.to_owned()
+        };
+        if stream.write_all(response.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_copy_of_an_acknowledgement_does_not_lose_the_notices_of_another_call() {
+    let mut harness = Harness::new("copy-204", |_, _| http_response("200 OK", "", ""));
+    let entry = list_entry("e", harness.endpoint_address, 7, "Terminating");
+    let list = format!(r#"{{"generation":1,"reset":true,"instances":[{entry}]}}"#);
+    let (platform, acknowledged) = start_platform_with_copies(list);
+    let discovery = harness.discovery_address.to_string();
+    harness.restart_with(&[(&discovery, &platform.to_string()), (r#""aim_ms": 3000"#, r#""aim_ms": 500"#)]);
+    let is_acknowledged = |id: &str| {
+        acknowledged.lock().expect("mutex is not poisoned").iter().any(|line: &String| line.contains(id))
+    };
+    for id in ["a1", "a2", "a3"] {
+        submit_with_patience(&harness, id, 20_000);
+        harness.wait_until("the notice", |_| is_acknowledged(id));
+    }
+}
--- a/src/response_doubt.rs
+++ b/src/response_doubt.rs
@@ -37,6 +37,14 @@
     NotifiedAtDeadline,
 }
 
+/// The connections that carry calls with notices. All acknowledgements are equal, and one that belongs to an
+/// earlier call would end notices that the platform has not received. The platform's agent is on the sender's
+/// machine, so a connection costs little.
+pub const NOTICE_CONNECTIONS: ConnectionChoice = ConnectionChoice::New;
+/// The connections that carry requests for the destination list. A copy of an earlier list is put in force again
+/// without effect, or rejected by its version.
+pub const LIST_CONNECTIONS: ConnectionChoice = ConnectionChoice::Any;
+
 /// What a call needs of its response.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallNeeds {
