Soak: endpoints and platform write copies of earlier responses; ambiguous ones never repeat

The soak had no kind in which a peer writes more than was asked for. It now allows a failure after a delivery at the deadline (whole milliseconds, as patience is stated) or by a later process of the sender; before it, from the same process, it stays a violation (test). Sender: where extra responses are expected, a refusal in doubt waits for the response that a copy may have displaced instead of counting as possibly executed; a delivery is taken back only where the real response is certain, and otherwise ends with its notice, as a repeat of a delivered packet would be a call after its end.

--- a/crates/sailcart-lab/src/soak/machine.rs
+++ b/crates/sailcart-lab/src/soak/machine.rs
@@ -107,6 +107,11 @@
         SoakKind::EndpointLink => TroubleEffect::EndpointLink(
             *[LinkFault::Delay, LinkFault::Trickle, LinkFault::Cut].choose(rng).unwrap_or(&LinkFault::Delay),
         ),
+        // Two senders in three get copies from endpoints, the others from the platform.
+        SoakKind::ExtraResponses if rng.random_ratio(2, 3) => {
+            TroubleEffect::EndpointLink(LinkFault::ExtraResponses)
+        }
+        SoakKind::ExtraResponses => TroubleEffect::PlatformLink(LinkFault::ExtraResponses),
         _ => return None,
     })
 }
--- a/crates/sailcart-lab/src/watcher/exactly_once.rs
+++ b/crates/sailcart-lab/src/watcher/exactly_once.rs
@@ -13,6 +13,9 @@
 /// Extra time for overdue completions of a restarted sender, from the moment it is ready.
 const RESTART_GRACE: Duration = Duration::from_millis(1500);
 
+/// Clients state their patience in whole milliseconds, rounded down.
+const PATIENCE_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// The state of the checks of rules 1 and 2.
 #[derive(Default)]
 pub struct ExactlyOnceCheck {
@@ -28,6 +31,8 @@
     /// Senders whose writes to the state folder fail: their next process does not know of a delivery that
     /// they read.
     failing_folders: HashSet<SenderId>,
+    /// When each restarted sender was last ready.
+    ready_at: HashMap<SenderId, Duration>,
 }
 
 impl ExactlyOnceCheck {
@@ -75,6 +80,12 @@
             // Allowed: the same completion reported again, and one that was on its way when the delivery was
             // reported.
             Some((_, previous)) if previous == completion => {}
+            // Also allowed, by the protocol: a notice about a packet that is over. It is harmless only if the
+            // packet cannot be delivered any more: at its deadline, or by a later process of its sender.
+            Some((at, CompletionKind::Done))
+                if completion == CompletionKind::Scrapped
+                    && (now + PATIENCE_RESOLUTION >= submission.deadline
+                        || self.ready_at.get(&submission.sender).is_some_and(|ready| *ready > at)) => {}
             Some((at, CompletionKind::Done))
                 if now <= at + crossing || self.unread_deliveries.contains(&packet) => {}
             Some((at, previous)) => {
@@ -200,6 +211,7 @@
 
     /// A sender is ready again after a restart: its overdue completions get [`RESTART_GRACE`].
     pub fn sender_ready(&mut self, state: &RunState, sender: SenderId) {
+        self.ready_at.insert(sender, state.now);
         let until = state.now + RESTART_GRACE;
         let due_before = self.incomplete.iter().filter(|(at, packet)| {
             *at < until
--- a/crates/sailcart-lab/tests/soak.rs
+++ b/crates/sailcart-lab/tests/soak.rs
@@ -145,3 +145,30 @@
         assert_eq!(watcher.count(Rule::NoDouble), u64::from(!first_is_early));
     }
 }
+
+/// The protocol calls a notice about a packet that is over harmless. It must not come while the packet could
+/// still be delivered by the same process.
+#[test]
+fn a_failure_after_a_delivery_is_a_violation_before_the_deadline_alone() {
+    let soak_experiment = experiment::build(&[], 2, RUN_SPAN, 40.0);
+    let plan = Plan::new(soak_experiment.clone(), 1).expect("a plan");
+    let submitted = SubmittedPacket::new(&plan, PacketId(0), PlannedPacketId(0), SenderId(0));
+    let delivered_at = submitted.deadline / 2;
+    for (reported_at, restarted, is_violation) in [
+        (submitted.deadline - Duration::from_millis(2), false, true),
+        (submitted.deadline, false, false),
+        (submitted.deadline - Duration::from_millis(2), true, false),
+    ] {
+        let mut watcher = Watcher::new(&soak_experiment.rules);
+        watcher.observe(Duration::from_millis(1), &Observation::Submitted(submitted));
+        watcher.observe(Duration::from_millis(2), &Observation::Accepted(PacketId(0)));
+        watcher.observe(delivered_at, &Observation::Completed(PacketId(0), CompletionKind::Done));
+        if restarted {
+            let later = delivered_at + Duration::from_secs(1);
+            watcher.observe(later, &Observation::SenderDown(SenderId(0)));
+            watcher.observe(later, &Observation::SenderUp(SenderId(0)));
+        }
+        watcher.observe(reported_at, &Observation::Completed(PacketId(0), CompletionKind::Scrapped));
+        assert_eq!(watcher.count(Rule::OneEnd), u64::from(is_violation), "{reported_at:?} {restarted}");
+    }
+}
--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -19,7 +19,7 @@
 use crate::exchange::invariants::{Permit, Refusal};
 use crate::local_errors;
 use crate::memory::pool::Pool;
-use crate::outgoing::{Call, CallOwner, ReceivedResponse, SentCall};
+use crate::outgoing::{Call, CallOwner, CallsInDoubt, ReceivedResponse, SentCall};
 use crate::response::{self, Response};
 use crate::socket::Socket;
 use crate::wire::MAX_BODY_BYTES;
@@ -129,11 +129,9 @@
         sent: &SentResult,
         owner: &Rc<impl CallOwner>,
     ) {
-        let all_completed =
-            || sent.outcomes.iter().all(|(outcome, completed)| *completed || *outcome == Outcome::Done);
         match sent.ending {
             Ending::Close(code) => connection.log_end(code),
-            Ending::Reusable if sent.attribution == Attribution::InDoubt && !all_completed() => {
+            Ending::Reusable if sent.is_undecided() => {
                 if !connection.buffer.is_empty() {
                     owner.extra_response_received(call.endpoint, None);
                 }
@@ -253,6 +251,17 @@
     ending: Ending,
 }
 
+impl SentResult {
+    /// Whether the response is in doubt, reports anything but the completion of all packets, and the response
+    /// that it may have displaced can still arrive.
+    fn is_undecided(&self) -> bool {
+        let is_completion = |(outcome, completed): &PacketOutcome| *completed || *outcome == Outcome::Done;
+        self.attribution == Attribution::InDoubt
+            && self.ending == Ending::Reusable
+            && !self.outcomes.iter().all(is_completion)
+    }
+}
+
 /// Sends a call and reads its response.
 async fn send(
     call: &Call,
@@ -266,7 +275,8 @@
     let request = call::write(&call.address.to_string(), &call_packets, budget);
     let (mut written, mut response) = (false, Response::default());
     log::debug!("{}: written on {connection}", PacketIds(call));
-    connection.begin_call(SentCall::of(call));
+    let sent_call = SentCall::of(call);
+    connection.begin_call(sent_call.clone());
     let result = tokio::select! {
         result = timeout_at(
             deadline.into(),
@@ -300,7 +310,70 @@
         };
         same_for_all(call, outcome)
     });
-    SentResult { outcomes, head, attribution, ending }
+    let sent = SentResult { outcomes, head, attribution, ending };
+    if !sent.is_undecided() || !owner.must_settle_before_reuse() {
+        return sent;
+    }
+    tokio::select! {
+        sent = await_displaced_response(call, connection, &sent_call, sent, owner) => sent,
+        () = call.cancelled.notified() => SentResult {
+            outcomes: same_for_all(call, Outcome::Cancelled),
+            head: None,
+            attribution: Attribution::Certain,
+            ending: Ending::Close("called_off"),
+        },
+    }
+}
+
+/// Waits for the response that a copy of an earlier one may have displaced. If nothing more is received within
+/// the settle time, the first response stands.
+async fn await_displaced_response(
+    call: &Call,
+    connection: &mut EndpointConnection,
+    sent_call: &Rc<SentCall>,
+    sent: SentResult,
+    owner: &Rc<impl CallOwner>,
+) -> SentResult {
+    let settled_at = (Instant::now() + owner.settle_time()).min(call.started_at + call.timeout);
+    loop {
+        let mut response = Response::default();
+        match timeout_at(settled_at.into(), connection.read_response(&mut response)).await {
+            Err(_) if response.first_byte_at.is_none() => {
+                connection.matcher.settle(connection.age(), Duration::ZERO);
+                return SentResult { attribution: Attribution::Certain, ..sent };
+            }
+            Err(_) => return SentResult { ending: Ending::Close("in_doubt"), ..sent },
+            Ok(Err(error)) => return SentResult { ending: Ending::Close(log_code(&error)), ..sent },
+            Ok(Ok(())) => {}
+        }
+        log::debug!("{}: read on {connection}: {}", PacketIds(call), ResponseSummary(&response, call));
+        let (head, leaves_open) = (response.head.clone(), response.leaves_open());
+        let calls = record_extra_response(call.endpoint, connection, response, owner);
+        let own = calls.iter().find(|candidates| Rc::ptr_eq(&candidates.call, sent_call));
+        let resolved = own.and_then(|own| match &*own.responses {
+            [response] => Some(sent_call.outcomes(response)),
+            _ => None,
+        });
+        owner.resolve(calls);
+        if let Some(outcomes) = resolved {
+            let ending = if leaves_open { Ending::Reusable } else { Ending::Close("answer_closes") };
+            return SentResult { outcomes, head, attribution: Attribution::Certain, ending };
+        }
+    }
+}
+
+/// Passes a response that belongs to no call in flight to the owner. Returns the calls that it concerns.
+fn record_extra_response(
+    endpoint: EndpointId,
+    connection: &mut EndpointConnection,
+    response: Response,
+    owner: &Rc<impl CallOwner>,
+) -> CallsInDoubt {
+    log::debug!("extra response on {connection}: status={:?}", response.status.unwrap_or_default());
+    owner.extra_response_received(endpoint, response.head.as_ref());
+    let (now, fingerprint) = (connection.age(), response.fingerprint);
+    let received = ReceivedResponse::of(response);
+    connection.matcher.extra_response_received(now, fingerprint, received)
 }
 
 /// Writes a request and reads its response; nothing is sent again. A response may arrive before the request
@@ -366,22 +439,15 @@
             has_extra_input |= response.first_byte_at.is_some();
             break;
         };
-        let is_extra = response.first_byte_at.is_some();
-        if is_extra {
-            has_extra_input = true;
-            log::debug!("extra response on {connection}: status={:?}", response.status.unwrap_or_default());
-            owner.extra_response_received(endpoint, response.head.as_ref());
-        }
         if let Err(error) = read {
+            if response.first_byte_at.is_some() {
+                owner.extra_response_received(endpoint, response.head.as_ref());
+            }
             connection.log_end(log_code(&error));
             return None;
         }
-        let (now, fingerprint) = (connection.age(), response.fingerprint);
-        let received = ReceivedResponse::of(response);
-        let calls = connection.matcher.extra_response_received(now, fingerprint, received);
-        if owner.resolve(calls) {
-            break;
-        }
+        has_extra_input = true;
+        owner.resolve(record_extra_response(endpoint, &mut connection, response, owner));
     }
     if has_extra_input {
         connection.log_end("extra_answer");
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -139,19 +139,17 @@
         host.doubtful_responses.count(DoubtEvent::Extra, &format_args!("endpoint {}", endpoint.0));
     }
 
-    fn resolve(&self, calls: CallsInDoubt) -> bool {
+    fn resolve(&self, calls: CallsInDoubt) {
         let inner = &mut *self.inner.borrow_mut();
-        let mut must_close = false;
         for Candidates { call, responses } in &calls {
-            let outcomes: Vec<Vec<PacketOutcome>> =
-                responses.iter().map(|response| call.outcomes(response)).collect();
-            for (index, (id, _)) in call.packets.iter().enumerate() {
-                let possible: Vec<PacketOutcome> = outcomes.iter().map(|each| each[index]).collect();
-                must_close |= inner.resolve_packet(*id, &possible);
+            // Several responses that differ leave the delivery in doubt: it is neither lost nor repeated if it
+            // completes with a notice.
+            let [response] = &**responses else { continue };
+            for ((id, _), outcome) in call.packets.iter().zip(call.outcomes(response)) {
+                inner.resolve_packet(*id, outcome);
             }
         }
         self.round_requested.notify_one();
-        must_close
     }
 }
 
--- a/crates/sailcart-sender/src/exchange/confirmation.rs
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -129,32 +129,24 @@
 }
 
 impl Inner {
-    /// Resolves the doubt about a delivered packet by the outcomes that its call may have had; a single one is
-    /// certain. Returns whether the packet is dispatched again although its call may still be in progress.
-    pub(super) fn resolve_packet(&mut self, id: PacketId, possible: &[PacketOutcome]) -> bool {
-        let is_completion = |(outcome, completed): &PacketOutcome| *completed || *outcome == Outcome::Done;
-        let is_certain = possible.len() == 1;
+    /// Resolves the doubt about a delivered packet by the outcome that its call really had.
+    pub(super) fn resolve_packet(&mut self, id: PacketId, (outcome, completed): PacketOutcome) {
         if !self.host.unconfirmed.contains_key(&id) {
-            return false;
+            return;
         }
-        if possible.iter().all(is_completion) {
-            if is_certain {
-                self.host.confirm_delivery(id);
-            }
-            return false;
+        if completed || outcome == Outcome::Done {
+            self.host.confirm_delivery(id);
+        } else {
+            self.reopen(id, may_have_executed(outcome));
         }
-        let may_have_executed =
-            !is_certain || possible.iter().any(|(outcome, _)| may_have_executed(*outcome));
-        let reopened = self.reopen(id, may_have_executed);
-        reopened && !is_certain
     }
 
     /// Takes back a delivery: the packet is dispatched again, or completes with a notice if it may have been
-    /// executed and must not be repeated. Returns whether it is dispatched again.
-    fn reopen(&mut self, id: PacketId, may_have_executed: bool) -> bool {
+    /// executed and must not be repeated.
+    fn reopen(&mut self, id: PacketId, may_have_executed: bool) {
         let Inner { sender, host, .. } = self;
         let Some(UnconfirmedDelivery { packet, state, .. }) = host.unconfirmed.remove(&id) else {
-            return false;
+            return;
         };
         host.doubtful_responses.count(DoubtEvent::Corrected, &format_args!("packet {}", packet.id));
         let possibly_executed_at =
@@ -163,13 +155,11 @@
         let may_repeat =
             !may_have_executed || host.category(&packet).is_some_and(|category| sender.may_repeat(category));
         if !may_repeat || host.ledger.reopen(&packet, state).is_err() {
-            host.ledger.replace_completion_with_notice(&packet, Notice::Scrapped);
-            return false;
+            return host.ledger.replace_completion_with_notice(&packet, Notice::Scrapped);
         }
         match host.sender_packet(&packet) {
             Ok(reopened) => sender.accept(host.clock.now(), reopened),
             Err(_) => host.queue_notice(id, Notice::Scrapped),
         }
-        true
     }
 }
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -125,8 +125,5 @@
     fn extra_response_received(&self, endpoint: EndpointId, head: Option<&Head>);
 
     /// Receives the calls of a connection that were in doubt, after a response that belongs to no call.
-    /// Returns whether the connection must be closed now, because a packet is to be dispatched again whose
-    /// call may still be in progress there.
-    #[must_use]
-    fn resolve(&self, calls: CallsInDoubt) -> bool;
+    fn resolve(&self, calls: CallsInDoubt);
 }
