A connection whose last response is in doubt is not closed unread, and its notice is sent

Change: a round wakes the worker for notices that wait for a deadline too; connections in doubt are looked at before another is chosen for their endpoint, are not replaced, and are read until they have settled before they are closed on request.

--- a/crates/sailcart-sender/src/endpoint_connection.rs
+++ b/crates/sailcart-sender/src/endpoint_connection.rs
@@ -56,6 +56,8 @@
     pub matcher: ResponseMatcher<Rc<SentCall>, Rc<ReceivedResponse>>,
     /// Number of calls sent, including one in flight.
     pub calls: u32,
+    /// It carries no further call and is to be closed once it has settled, for this reason in the log.
+    pub close_when_settled: Option<&'static str>,
     opened_at: Instant,
     /// Since when no call is in flight; `None` during a call and before the first one.
     idle_since: Option<Instant>,
@@ -71,6 +73,7 @@
             buffer: BytesMut::new(),
             matcher: ResponseMatcher::default(),
             calls: 0,
+            close_when_settled: None,
             opened_at: Instant::now(),
             idle_since: None,
         }
--- a/crates/sailcart-sender/src/endpoints.rs
+++ b/crates/sailcart-sender/src/endpoints.rs
@@ -54,12 +54,12 @@
     }
 
     /// Closes an endpoint's idle connections. `code` is the reason in the log.
-    pub fn close(&self, endpoint: EndpointId, code: &str) {
+    pub fn close(&self, endpoint: EndpointId, code: &'static str) {
         self.pool.borrow_mut().close(endpoint, code);
     }
 
     /// Closes all idle connections. `code` is the reason in the log.
-    pub fn close_all(&self, code: &str) {
+    pub fn close_all(&self, code: &'static str) {
         self.pool.borrow_mut().close_all(code);
     }
 
@@ -69,7 +69,7 @@
         loop {
             sleep(Duration::from_millis(250)).await;
             self.pool.borrow_mut().sweep();
-            self.read_unexpected_input(&owner);
+            self.settle_connections(&owner);
         }
     }
 
@@ -160,8 +160,8 @@
         }
     }
 
-    fn read_unexpected_input(self: &Rc<Self>, owner: &Rc<impl CallOwner>) {
-        let connections = self.pool.borrow_mut().take_with_unread_input();
+    fn settle_connections(self: &Rc<Self>, owner: &Rc<impl CallOwner>) {
+        let connections = self.pool.borrow_mut().take_to_settle();
         for (endpoint, connection) in connections {
             self.settle(endpoint, connection, owner);
         }
@@ -198,7 +198,7 @@
     ) -> Result<EndpointConnection, Outcome> {
         let choice = owner.connection_choice(call);
         let idle = self.pool.borrow_mut().take(call.endpoint, choice, owner.settle_time());
-        self.read_unexpected_input(owner);
+        self.settle_connections(owner);
         if let Some(idle) = idle {
             return Ok(idle);
         }
@@ -453,6 +453,10 @@
         connection.log_end("extra_answer");
         return None;
     }
+    if let Some(code) = connection.close_when_settled {
+        connection.log_end(code);
+        return None;
+    }
     connection.matcher.settle(connection.age(), Duration::ZERO);
     connection.socket.clear_read_readiness();
     Some(connection)
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -177,7 +177,7 @@
         for call in host.take_calls() {
             tokio::task::spawn_local(endpoints.clone().execute(call, self.clone()));
         }
-        if host.ledger.due_notices(|deadline| host.clock.is_past(deadline)) > 0 {
+        if host.ledger.pending_notices().next().is_some() {
             self.notice_queued.notify_one();
         }
     }
--- a/crates/sailcart-sender/src/memory/pool.rs
+++ b/crates/sailcart-sender/src/memory/pool.rs
@@ -12,8 +12,9 @@
 /// grouped by address, since another endpoint may take over an address.
 pub struct Pool {
     idle: HashMap<EndpointId, Vec<EndpointConnection>>,
-    /// Connections on which bytes arrived that no call was waiting for.
-    with_unread_input: Vec<(EndpointId, EndpointConnection)>,
+    /// Connections that carry no call until they have settled: bytes arrived on them that no call was waiting
+    /// for, or they are to be closed and the last response is in doubt.
+    to_settle: Vec<(EndpointId, EndpointConnection)>,
     /// A connection that has been idle for this long is closed.
     max_idle_time: Duration,
     /// Maximum number of idle connections over all endpoints.
@@ -23,7 +24,7 @@
 impl Pool {
     /// An empty pool with the given limits.
     pub fn new(max_idle_time: Duration, max_connections: usize) -> Self {
-        Pool { idle: HashMap::new(), with_unread_input: Vec::new(), max_idle_time, max_connections }
+        Pool { idle: HashMap::new(), to_settle: Vec::new(), max_idle_time, max_connections }
     }
 
     /// Removes and returns a connection on which a call can be sent, if there is one. A call that was answered
@@ -34,13 +35,12 @@
         choice: ConnectionChoice,
         settle_time: Duration,
     ) -> Option<EndpointConnection> {
-        if choice == ConnectionChoice::New {
-            return None;
-        }
+        self.find_unread_in_doubt(endpoint, settle_time);
         let idle = self.idle.get_mut(&endpoint)?;
-        let is_suitable = |connection: &mut EndpointConnection| {
-            connection.matcher.settle(connection.age(), settle_time);
-            choice == ConnectionChoice::Any || !connection.matcher.has_doubt()
+        let is_suitable = |connection: &mut EndpointConnection| match choice {
+            ConnectionChoice::Any => true,
+            ConnectionChoice::Settled => !connection.matcher.has_doubt(),
+            ConnectionChoice::New => false,
         };
         while let Some(position) = idle.iter_mut().rposition(is_suitable) {
             let mut connection = idle.remove(position);
@@ -49,17 +49,16 @@
                 Some(_) => match connection.check_input() {
                     IdleState::Quiet => return Some(connection),
                     IdleState::Closed => connection.log_end("peer_closed"),
-                    IdleState::Unread => self.with_unread_input.push((endpoint, connection)),
+                    IdleState::Unread => self.to_settle.push((endpoint, connection)),
                 },
             }
         }
         None
     }
 
-    /// Removes and returns the connections on which bytes arrived that no call was waiting for, as far as
-    /// [`take`](Self::take) and [`sweep`](Self::sweep) have found any.
-    pub fn take_with_unread_input(&mut self) -> Vec<(EndpointId, EndpointConnection)> {
-        std::mem::take(&mut self.with_unread_input)
+    /// Removes and returns the connections that carry no call until they have settled.
+    pub fn take_to_settle(&mut self) -> Vec<(EndpointId, EndpointConnection)> {
+        std::mem::take(&mut self.to_settle)
     }
 
     /// Whether another connection may be kept, besides `others` that are not in the pool.
@@ -77,23 +76,40 @@
         self.idle.entry(endpoint).or_default().push(connection);
     }
 
-    /// Closes an endpoint's idle connections and logs each with this code.
-    pub fn close(&mut self, endpoint: EndpointId, code: &str) {
-        for connection in self.idle.remove(&endpoint).unwrap_or_default() {
-            connection.log_end(code);
+    /// Closes an endpoint's idle connections and logs each with this code. Those whose last response is in doubt
+    /// are closed once they have settled.
+    pub fn close(&mut self, endpoint: EndpointId, code: &'static str) {
+        for mut connection in self.idle.remove(&endpoint).unwrap_or_default() {
+            if connection.matcher.has_doubt() {
+                connection.close_when_settled = Some(code);
+                self.to_settle.push((endpoint, connection));
+            } else {
+                connection.log_end(code);
+            }
         }
     }
 
-    /// Closes the endpoint's connection that has been idle the longest, if there is one.
+    /// Looks for unread bytes on connections whose last response is in doubt: they may resolve it.
+    fn find_unread_in_doubt(&mut self, endpoint: EndpointId, settle_time: Duration) {
+        let Some(idle) = self.idle.get_mut(&endpoint) else { return };
+        idle.iter_mut().for_each(|connection| connection.matcher.settle(connection.age(), settle_time));
+        let with_input = idle.extract_if(.., |connection| {
+            connection.matcher.has_doubt() && connection.check_input() == IdleState::Unread
+        });
+        self.to_settle.extend(with_input.map(|connection| (endpoint, connection)));
+    }
+
+    /// Closes the endpoint's connection that has been idle the longest, if there is one whose last response is
+    /// not in doubt.
     pub fn close_oldest(&mut self, endpoint: EndpointId, code: &str) {
         let Some(idle) = self.idle.get_mut(&endpoint) else { return };
-        if !idle.is_empty() {
-            idle.remove(0).log_end(code);
+        if let Some(position) = idle.iter().position(|connection| !connection.matcher.has_doubt()) {
+            idle.remove(position).log_end(code);
         }
     }
 
     /// Closes all idle connections and logs each with this code.
-    pub fn close_all(&mut self, code: &str) {
+    pub fn close_all(&mut self, code: &'static str) {
         for endpoint in self.idle.keys().copied().collect::<Vec<_>>() {
             self.close(endpoint, code);
         }
@@ -110,7 +126,7 @@
                 match connection.check_reported_input() {
                     IdleState::Quiet => idle.push(connection),
                     IdleState::Closed => connection.log_end("peer_closed"),
-                    IdleState::Unread => self.with_unread_input.push((*endpoint, connection)),
+                    IdleState::Unread => self.to_settle.push((*endpoint, connection)),
                 }
             }
         }
@@ -118,6 +134,6 @@
     }
 
     fn len(&self) -> usize {
-        self.idle.values().map(Vec::len).sum::<usize>() + self.with_unread_input.len()
+        self.idle.values().map(Vec::len).sum::<usize>() + self.to_settle.len()
     }
 }
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -1,6 +1,7 @@
 //! An endpoint or the platform writes a copy of an earlier response on a connection that is kept alive, where the
 //! sender may read it as the response to its next request.
 
+use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -65,7 +66,7 @@
     }
 }
 
-/// An endpoint whose first connection is served by `script`. The others are answered with 200.
+/// An endpoint that follows a script.
 struct ScriptedEndpoint {
     address: SocketAddr,
     /// The packets of all calls, in order of arrival.
@@ -73,22 +74,32 @@
 }
 
 impl ScriptedEndpoint {
+    /// `script` serves the first connection; the others respond 200.
     fn start(script: impl FnOnce(Peer) + Send + 'static) -> ScriptedEndpoint {
+        let script = Mutex::new(Some(script));
+        Self::start_all(move |peer| {
+            let script = script.lock().expect("mutex is not poisoned").take();
+            match script {
+                Some(script) => script(peer),
+                None => peer.respond_ok(),
+            }
+        })
+    }
+
+    /// `script` serves each connection.
+    fn start_all(script: impl Fn(Peer) + Send + Sync + 'static) -> ScriptedEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
         let address = listener.local_addr().expect("read the local address");
         let ids = Arc::new(Mutex::new(Vec::new()));
         let all_ids = ids.clone();
         thread::spawn(move || {
-            let mut script = Some(script);
+            let script = Arc::new(script);
             for stream in listener.incoming().flatten() {
                 stream.set_nodelay(true).expect("set TCP_NODELAY");
                 stream.set_read_timeout(Some(READ_TIMEOUT)).expect("set the read timeout");
                 let peer = Peer { reader: BufReader::new(stream), ids: all_ids.clone() };
-                let script = script.take();
-                thread::spawn(move || match script {
-                    Some(script) => script(peer),
-                    None => peer.respond_ok(),
-                });
+                let script = script.clone();
+                thread::spawn(move || script(peer));
             }
         });
         ScriptedEndpoint { address, ids }
@@ -270,3 +281,141 @@
         harness.wait_until("the notice", |_| is_acknowledged(id));
     }
 }
+
+/// How a copy is written.
+#[derive(Clone, Copy, Debug)]
+enum CopyForm {
+    Whole,
+    Twice,
+    InTwoParts,
+    WithNoise,
+    /// In one write with the response that it displaces.
+    WithNextResponse,
+}
+
+/// What an endpoint did with each packet.
+#[derive(Default)]
+struct Tally {
+    executions: HashMap<String, usize>,
+    /// Delivered, or over for the endpoint.
+    ended: HashSet<String>,
+    responses: usize,
+}
+
+impl Tally {
+    /// Draws the response to a call: mostly a delivery, sometimes a refusal.
+    fn respond(&mut self, id: &str, first_on_connection: Option<&'static str>) -> &'static str {
+        self.responses += 1;
+        let response = first_on_connection.unwrap_or(match self.responses % 3 {
+            0 => OK_WITH_REPORT,
+            1 => UNAVAILABLE,
+            _ => OK,
+        });
+        let status = &response[9..12];
+        if matches!(status, "200" | "204" | "500") {
+            *self.executions.entry(id.to_owned()).or_default() += 1;
+        }
+        if matches!(status, "200" | "410") {
+            self.ended.insert(id.to_owned());
+        }
+        response
+    }
+}
+
+/// Serves a connection: the first call gets `first`, and each further one a copy of the response before it and
+/// then its own.
+fn serve_with_copies(mut peer: Peer, first: &'static str, form: CopyForm, tally: &Mutex<Tally>) {
+    let respond = |id: &str, first: Option<&'static str>| {
+        tally.lock().expect("mutex is not poisoned").respond(id, first)
+    };
+    let Some(id) = peer.read_call() else { return };
+    let mut previous = respond(&id, Some(first));
+    peer.write(previous);
+    while let Some(id) = peer.read_call() {
+        match form {
+            CopyForm::Whole => peer.write(previous),
+            CopyForm::Twice => peer.write(&previous.repeat(2)),
+            CopyForm::WithNoise => peer.write(&format!("{previous}noise")),
+            CopyForm::InTwoParts => {
+                peer.write(&previous[..20]);
+                thread::sleep(Duration::from_millis(30));
+                peer.write(&previous[20..]);
+            }
+            CopyForm::WithNextResponse => {}
+        }
+        thread::sleep(RESPONSE_TIME);
+        let response = respond(&id, None);
+        match form {
+            CopyForm::WithNextResponse => peer.write(&format!("{previous}{response}")),
+            _ => peer.write(response),
+        }
+        previous = response;
+    }
+}
+
+/// Sends packets to an endpoint that writes copies, and returns what is wrong with their ends.
+fn faults_with_copies(first: &'static str, form: CopyForm, changes: &[(&str, &str)]) -> Vec<String> {
+    let tally = Arc::new(Mutex::new(Tally::default()));
+    let endpoint_tally = tally.clone();
+    let endpoint = ScriptedEndpoint::start_all(move |peer| {
+        serve_with_copies(peer, first, form, &endpoint_tally);
+    });
+    let scenario = format!("copies-{}-{}-{form:?}-{}", &first[9..12], first.len(), changes.len());
+    let harness = start_sender(&scenario, &endpoint, changes);
+    let ids: Vec<String> = (0..8).map(|number| format!("p{number}")).collect();
+    for id in &ids {
+        submit_with_patience(&harness, id, 2500);
+        thread::sleep(Duration::from_millis(150));
+    }
+    // The patience of the last packet, the 300 ms within which its end is told, and time for a slow machine.
+    thread::sleep(Duration::from_millis(2500 + 300 + 700));
+    let tally = tally.lock().expect("mutex is not poisoned");
+    let mut faults = Vec::new();
+    for id in &ids {
+        if !tally.ended.contains(id) && !has_notice(&harness, id) {
+            faults.push(format!("{scenario}: {id} has no end\n{}", harness.log()));
+        }
+        let executions = tally.executions.get(id).copied().unwrap_or(0);
+        if changes.contains(&UNREPEATABLE) && executions > 1 {
+            faults.push(format!("{scenario}: {id} was executed {executions} times\n{}", harness.log()));
+        }
+    }
+    faults
+}
+
+const FIRST_RESPONSES: [&str; 9] = [
+    OK,
+    OK_WITH_REPORT,
+    NO_CONTENT,
+    "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+    UNAVAILABLE,
+    "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n",
+];
+const FORMS: [CopyForm; 5] =
+    [CopyForm::Whole, CopyForm::Twice, CopyForm::InTwoParts, CopyForm::WithNoise, CopyForm::WithNextResponse];
+
+/// Runs all combinations of responses and forms, some at a time.
+fn all_faults_with_copies(changes: &'static [(&'static str, &'static str)]) -> Vec<String> {
+    let mut faults = Vec::new();
+    for form in FORMS {
+        let runs =
+            FIRST_RESPONSES.map(|first| thread::spawn(move || faults_with_copies(first, form, changes)));
+        faults.extend(runs.into_iter().flat_map(|run| run.join().expect("the run does not panic")));
+    }
+    faults
+}
+
+#[test]
+fn copies_of_any_response_in_any_form_lose_no_packet() {
+    let faults = all_faults_with_copies(&[]);
+    assert!(faults.is_empty(), "{} faults\n{}", faults.len(), faults.join("\n"));
+}
+
+#[test]
+fn copies_of_any_response_in_any_form_lose_no_unrepeatable_packet_and_execute_none_twice() {
+    let faults = all_faults_with_copies(&[UNREPEATABLE]);
+    assert!(faults.is_empty(), "{} faults\n{}", faults.len(), faults.join("\n"));
+}
