Tests: hang and kill after a copy, waits in displaced responses, copies of lists of packets

Each forces one instant of the class on real processes: the displaced response never comes (notice within 300 ms of the deadline), SIGKILL between verdict and correction (the next process repeats or tells), a wait in the displaced response (heeded), a copy of another call's list (skipped, each packet sent once).

--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -4,10 +4,11 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[allow(dead_code)] // other tests use the rest of it
 mod common;
@@ -419,3 +420,169 @@
     let faults = all_faults_with_copies(&[UNREPEATABLE]);
     assert!(faults.is_empty(), "{} faults\n{}", faults.len(), faults.join("\n"));
 }
+
+/// Makes the sender expect extra responses: the endpoint's connection gets one after the call with `id`.
+fn provoke_extra_response(harness: &Harness, endpoint: &ScriptedEndpoint, id: &str) {
+    submit_with_patience(harness, id, 8000);
+    harness.wait_until("the call", |_| endpoint.calls_with(id) == 1);
+    harness.wait_until("the extra response", |harness| harness.log().contains("responses: extra=1 "));
+}
+
+/// Serves the first connection of an endpoint that writes an extra response after its first call.
+fn write_extra_response(peer: &mut Peer) {
+    peer.read_call();
+    peer.write(OK);
+    thread::sleep(Duration::from_millis(20));
+    peer.write(OK);
+}
+
+#[test]
+fn a_delivery_in_doubt_whose_response_never_comes_ends_with_a_notice_at_its_deadline() {
+    let connections = AtomicUsize::new(0);
+    let endpoint = ScriptedEndpoint::start_all(move |mut peer| {
+        if connections.fetch_add(1, Ordering::SeqCst) == 0 {
+            write_extra_response(&mut peer);
+            while peer.read_call().is_some() {}
+            return;
+        }
+        peer.read_call();
+        peer.write(OK);
+        peer.read_call();
+        peer.write(OK);
+        // The copy is all that this call gets.
+        while peer.read_call().is_some() {}
+    });
+    let harness = start_sender("copy-hang", &endpoint, &[]);
+    provoke_extra_response(&harness, &endpoint, "a1");
+    for id in ["a2", "a3"] {
+        let submitted_at = Instant::now();
+        submit_with_patience(&harness, id, 2000);
+        harness.wait_until("the call", |_| endpoint.calls_with(id) == 1);
+        harness.wait_until("its outcome", |harness| harness.log().contains(&format!("packet {id} from")));
+        if id == "a3" {
+            harness.wait_until("the notice", |harness| has_notice(harness, "a3"));
+            assert!(submitted_at.elapsed() < Duration::from_millis(2300), "{:?}", submitted_at.elapsed());
+        }
+    }
+    assert!(!has_notice(&harness, "a2"), "the first response on a connection is certain");
+}
+
+#[test]
+fn a_kill_between_a_copy_and_the_displaced_refusal_does_not_lose_the_packet() {
+    let connections = AtomicUsize::new(0);
+    let (copy_written, may_kill) = rendezvous();
+    let copy_written = Mutex::new(copy_written);
+    let endpoint = ScriptedEndpoint::start_all(move |mut peer| {
+        if connections.fetch_add(1, Ordering::SeqCst) == 0 {
+            write_extra_response(&mut peer);
+            while peer.read_call().is_some() {}
+            return;
+        }
+        peer.read_call();
+        peer.write(OK);
+        if peer.read_call().as_deref() == Some("a3") {
+            peer.write(OK);
+            copy_written.lock().expect("mutex is not poisoned").send(()).expect("the test waits");
+            thread::sleep(Duration::from_secs(1));
+            peer.write(UNAVAILABLE);
+        }
+        while peer.read_call().is_some() {}
+    });
+    let mut harness = start_sender("copy-kill", &endpoint, &[]);
+    provoke_extra_response(&harness, &endpoint, "a1");
+    submit_with_patience(&harness, "a2", 8000);
+    harness.wait_until("the outcome", |harness| harness.log().contains("packet a2 from"));
+    submit_with_patience(&harness, "a3", 8000);
+    may_kill.recv_timeout(READ_TIMEOUT).expect("the copy was written");
+    harness.wait_until("the outcome", |harness| harness.log().contains("packet a3 from"));
+    harness.kill();
+    harness.start();
+    harness.wait_until("a repeat or a notice", |harness| {
+        endpoint.calls_with("a3") == 2 || has_notice(harness, "a3")
+    });
+}
+
+#[test]
+fn the_wait_in_a_displaced_response_is_heeded() {
+    const RETRY_AFTER: Duration = Duration::from_millis(2000);
+    const WAIT: &str = "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2.0\r\nContent-Length: 0\r\n\r\n";
+    let (wait_written, may_submit) = rendezvous();
+    let endpoint = ScriptedEndpoint::start(move |mut peer| {
+        peer.read_call();
+        peer.write(OK);
+        peer.read_call();
+        peer.write(OK);
+        thread::sleep(RESPONSE_TIME);
+        peer.write(WAIT);
+        wait_written.send(()).expect("the test waits");
+        while peer.read_call().is_some() {}
+    });
+    let harness = start_sender("copy-wait", &endpoint, &[]);
+    for id in ["a1", "a2"] {
+        submit_with_patience(&harness, id, 8000);
+        harness.wait_until("its outcome", |harness| harness.log().contains(&format!("packet {id} from")));
+    }
+    may_submit.recv_timeout(READ_TIMEOUT).expect("the wait was written");
+    let told_at = Instant::now();
+    harness.wait_until("the sender reads it", |harness| harness.log().contains("responses: extra=1 "));
+    submit_with_patience(&harness, "a3", 8000);
+    harness.wait_until("a2 and a3 are called", |_| {
+        endpoint.calls_with("a2") == 2 && endpoint.calls_with("a3") == 1
+    });
+    assert!(told_at.elapsed() >= RETRY_AFTER, "called after {:?}", told_at.elapsed());
+}
+
+#[test]
+fn a_copy_of_a_list_of_another_call_s_packets_is_skipped() {
+    let batches = (r#""kind_batch": [1]"#, r#""kind_batch": [3]"#);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+    let address = listener.local_addr().expect("read the local address");
+    let calls = Arc::new(Mutex::new(Vec::<String>::new()));
+    let endpoint_calls = calls.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let calls = endpoint_calls.clone();
+            thread::spawn(move || serve_batches(stream, &calls));
+        }
+    });
+    let mut harness = Harness::new("copy-batch", |_, _| http_response("200 OK", "", ""));
+    harness.restart_with(&[batches, (r#""period_ms": 5"#, r#""period_ms": 200"#)]);
+    harness.platform.set_list(&[list_entry("f", address, 7, "Ready")]);
+    harness.wait_until("the list change", |harness| harness.log().contains("discovery: version 2"));
+    for ids in [["a1", "a2"], ["b1", "b2"], ["c1", "c2"]] {
+        let submissions = ids.map(|id| {
+            let address = harness.listen_address;
+            let fields = format!("c=notice,t=acme,d=8000,k={id},dest=7");
+            thread::spawn(move || submit(address, id, &fields, "hello").expect("the sender replies"))
+        });
+        for submission in submissions {
+            assert_eq!(submission.join().expect("no panic"), "+OK");
+        }
+        harness.wait_until_store_shows("0 packets not completed");
+    }
+    assert_eq!(harness.notices(), [""; 0]);
+    let calls = calls.lock().expect("mutex is not poisoned");
+    assert_eq!(calls.len(), 3, "each packet was sent once: {calls:?}");
+}
+
+/// Accepts all packets of each call with several, and writes a copy of the list before it first.
+fn serve_batches(mut stream: TcpStream, calls: &Mutex<Vec<String>>) {
+    let Ok(reader) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(reader);
+    let mut previous: Option<String> = None;
+    while let Some(call) = Call::read(&mut reader) {
+        let body = String::from_utf8_lossy(&call.body).into_owned();
+        let ids = ["a1", "a2", "b1", "b2", "c1", "c2"].into_iter().filter(|id| body.contains(id));
+        let states: Vec<String> = ids.map(|id| format!(r#"{{"id":"{id}","state":"accepted"}}"#)).collect();
+        let response = http_response("200 OK", "", &format!("[{}]", states.join(",")));
+        let response = response.expect("an HTTP response");
+        calls.lock().expect("mutex is not poisoned").push(body);
+        if let Some(copy) = previous.replace(response.clone()) {
+            let _ = stream.write_all(copy.as_bytes());
+            thread::sleep(RESPONSE_TIME);
+        }
+        if stream.write_all(response.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
