A response in doubt is suspicious wherever equal responses are unusual, from the first on

Before, a delivery in doubt was protected by its notice only once an extra response had been seen in this process. The first copy that a process met together with a hang or a SIGKILL could still lose its packet. So a doubt there costs nothing and is suspicious by itself. Only where doubts are an eighth of the outcomes, and four at least, they are ordinary until an extra response is seen.

--- a/src/control.rs
+++ b/src/control.rs
@@ -829,6 +829,7 @@
         let (state, key, destination) = (tracked.state, tracked.packet.key, tracked.packet.destination);
         let (PacketState::InFlight(call, _) | PacketState::Withdrawn(call)) = state else { return };
         let sent_at = self.learn_from(call, elapsed, outcome, attribution);
+        self.response_doubt.record_attribution(attribution);
         let may_still_execute = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
             || (attribution == Attribution::InDoubt && outcome != Outcome::Done && !completed);
         if let (true, Some(key_queue)) =
--- a/src/response_doubt.rs
+++ b/src/response_doubt.rs
@@ -5,10 +5,11 @@
 //! host keeps the packet until the doubt has ended. One that reports anything else counts as a possible
 //! execution, and the host closes the connection, which withdraws the call from the endpoint.
 //!
-//! As long as no endpoint has been seen to write a response twice, a provisional delivery becomes final after
-//! the settle time. From then on for [`EXTRA_RESPONSE_MEMORY`], a connection in doubt carries no further call
-//! until it has settled, and a delivery whose doubt is never resolved completes with a notice at its deadline: a
-//! notice of a packet that was delivered is harmless, a packet without either is lost.
+//! Where a response in doubt is suspicious, its connection carries no further call until it has settled, and a
+//! delivery whose doubt is never resolved completes with a notice at its deadline: a notice of a packet that was
+//! delivered is harmless, a packet without either is lost. It is suspicious for [`EXTRA_RESPONSE_MEMORY`] after an
+//! extra response was seen, and as long as equal responses are unusual. Elsewhere, as where all deliveries are
+//! answered with the same bytes, a provisional delivery becomes final after the settle time.
 
 use std::time::Duration;
 
@@ -37,6 +38,11 @@
     NotifiedAtDeadline,
 }
 
+/// Responses in doubt are usual from this number on, if they are also [`USUAL_DOUBT_SHARE`] of all.
+const MIN_USUAL_DOUBTS: u64 = 4;
+/// Share of all responses from which on responses in doubt are usual.
+const USUAL_DOUBT_SHARE: f64 = 1.0 / 8.0;
+
 /// The connections that carry calls with notices. All acknowledgements are equal, and one that belongs to an
 /// earlier call would end notices that the platform has not received. The platform's agent is on the sender's
 /// machine, so a connection costs little.
@@ -58,6 +64,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct ResponseDoubt {
     last_extra_response_at: Option<Duration>,
+    /// Number of outcomes, and of those whose response was in doubt.
+    outcomes: u64,
+    doubts: u64,
 }
 
 impl ResponseDoubt {
@@ -66,8 +75,24 @@
         self.last_extra_response_at = Some(now);
     }
 
+    /// Records whether the response to a call was in doubt.
+    pub fn record_attribution(&mut self, attribution: Attribution) {
+        self.outcomes += 1;
+        self.doubts += u64::from(attribution == Attribution::InDoubt);
+    }
+
+    /// Whether responses in doubt are ordinary here, because endpoints give equal responses to most calls.
+    fn doubts_are_usual(&self) -> bool {
+        self.doubts >= MIN_USUAL_DOUBTS && self.doubts as f64 >= self.outcomes as f64 * USUAL_DOUBT_SHARE
+    }
+
+    /// Whether a response in doubt may well belong to another call.
+    fn doubt_is_suspicious(&self, now: Duration) -> bool {
+        self.extra_responses_expected(now) || !self.doubts_are_usual()
+    }
+
     /// Whether further extra responses are expected.
-    pub fn extra_responses_expected(&self, now: Duration) -> bool {
+    fn extra_responses_expected(&self, now: Duration) -> bool {
         self.last_extra_response_at.is_some_and(|at| now.saturating_sub(at) < EXTRA_RESPONSE_MEMORY)
     }
 
@@ -83,12 +108,12 @@
 
     /// Whether a connection in doubt waits for the settle time before it carries another call.
     pub fn must_settle_before_reuse(&self, now: Duration) -> bool {
-        self.extra_responses_expected(now)
+        self.doubt_is_suspicious(now)
     }
 
     /// How a delivery completes whose response is still in doubt after the settle time.
     pub fn unresolved_delivery(&self, now: Duration) -> UnresolvedDelivery {
-        if self.extra_responses_expected(now) {
+        if self.doubt_is_suspicious(now) {
             UnresolvedDelivery::NotifiedAtDeadline
         } else {
             UnresolvedDelivery::Completed
--- /dev/null
+++ b/tests/response_doubt.rs
@@ -0,0 +1,52 @@
+//! Decisions about responses that may belong to another call.
+
+use std::time::Duration;
+
+use sailcart::response_doubt::{CallNeeds, ConnectionChoice, ResponseDoubt, UnresolvedDelivery};
+use sailcart::response_matching::Attribution;
+
+const NOW: Duration = Duration::from_secs(1000);
+const EXACT: CallNeeds = CallNeeds { exact_outcome: true, is_probe: false };
+const PROBE: CallNeeds = CallNeeds { exact_outcome: false, is_probe: true };
+const PLAIN: CallNeeds = CallNeeds { exact_outcome: false, is_probe: false };
+
+fn with_responses(certain: usize, in_doubt: usize) -> ResponseDoubt {
+    let mut doubt = ResponseDoubt::default();
+    (0..certain).for_each(|_| doubt.record_attribution(Attribution::Certain));
+    (0..in_doubt).for_each(|_| doubt.record_attribution(Attribution::InDoubt));
+    doubt
+}
+
+#[test]
+fn a_doubt_is_suspicious_until_equal_responses_turn_out_to_be_usual() {
+    for (certain, in_doubt, is_suspicious) in [(0, 0, true), (0, 3, true), (8, 4, false), (100, 4, true)] {
+        let doubt = with_responses(certain, in_doubt);
+        let expected = if is_suspicious {
+            UnresolvedDelivery::NotifiedAtDeadline
+        } else {
+            UnresolvedDelivery::Completed
+        };
+        assert_eq!(doubt.unresolved_delivery(NOW), expected, "{certain} certain, {in_doubt} in doubt");
+        assert_eq!(doubt.must_settle_before_reuse(NOW), is_suspicious);
+    }
+}
+
+#[test]
+fn an_extra_response_makes_every_doubt_suspicious_for_ten_minutes() {
+    let mut doubt = with_responses(8, 8);
+    assert_eq!(doubt.unresolved_delivery(NOW), UnresolvedDelivery::Completed);
+    doubt.record_extra_response(NOW);
+    let later = |seconds| NOW + Duration::from_secs(seconds);
+    assert_eq!(doubt.unresolved_delivery(later(599)), UnresolvedDelivery::NotifiedAtDeadline);
+    assert_eq!(doubt.unresolved_delivery(later(600)), UnresolvedDelivery::Completed);
+}
+
+#[test]
+fn calls_that_need_an_exact_outcome_avoid_connections_in_doubt() {
+    let mut doubt = with_responses(8, 8);
+    let choices =
+        |doubt: &ResponseDoubt| [PLAIN, EXACT, PROBE].map(|needs| doubt.connection_choice(NOW, needs));
+    assert_eq!(choices(&doubt), [ConnectionChoice::Any, ConnectionChoice::Settled, ConnectionChoice::New]);
+    doubt.record_extra_response(NOW);
+    assert_eq!(choices(&doubt), [ConnectionChoice::Any, ConnectionChoice::New, ConnectionChoice::New]);
+}
