The log tells when the health of a destination changes, twenty lines a second at most

Changes that outcomes cause are logged at info with the state before; lines left out are counted in the next one. (Stalls without an outcome are not logged as a change.) Test: an address without a listener is ejected, and recovering once it answers.

--- a/crates/sailcart-sender/src/exchange/host_state.rs
+++ b/crates/sailcart-sender/src/exchange/host_state.rs
@@ -11,6 +11,7 @@
 use super::clock::Clock;
 use super::confirmation::{DoubtCounts, UnconfirmedDelivery};
 use super::directory::Directory;
+use super::health_log::HealthLog;
 use super::invariants::{Invariant, Violations};
 use super::packets::{SubmitReply, reply_all};
 use crate::memory::Notice;
@@ -56,6 +57,7 @@
     /// Deliveries whose response is in doubt.
     pub(super) unconfirmed: BTreeMap<PacketId, UnconfirmedDelivery>,
     pub(super) doubtful_responses: DoubtCounts,
+    pub(super) health_log: HealthLog,
 }
 
 impl HostState {
@@ -84,6 +86,7 @@
             violations: Violations::default(),
             unconfirmed: BTreeMap::new(),
             doubtful_responses: DoubtCounts::default(),
+            health_log: HealthLog::default(),
             in_order_by_category: settings.categories.iter().map(|category| category.in_order).collect(),
         }
     }
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod confirmation;
 pub mod directory;
+mod health_log;
 mod host;
 mod host_state;
 pub mod invariants;
@@ -166,6 +167,7 @@
         if !*stopped || !host.waiting_clients.is_empty() {
             sender.decide(host.clock.now(), host);
         }
+        sender.take_health_changes().iter().for_each(|change| host.health_log.log(change));
         match host.ledger.commit() {
             Ok(()) => host.reply_to_clients(),
             // Replies promise durability, so they wait for the first round whose commit succeeds.
--- a/crates/sailcart-sender/tests/log_evidence.rs
+++ b/crates/sailcart-sender/tests/log_evidence.rs
@@ -1,10 +1,12 @@
 //! The log answers when and on which connection each step of a packet's delivery happened.
 
+use std::net::TcpListener;
+
 #[allow(dead_code)] // other tests use the rest of it
 mod common;
 
 use common::harness::Harness;
-use common::http_response;
+use common::{http_response, list_entry, serve_http};
 
 /// The monotonic time of a log line in seconds.
 fn uptime(line: &str) -> f64 {
@@ -37,3 +39,22 @@
     }
     assert!(steps.is_sorted_by_key(|line| uptime(line)), "{log}");
 }
+
+#[test]
+fn the_log_tells_when_the_health_of_a_destination_changes() {
+    let harness = Harness::new("log-health", |_, _| http_response("200 OK", "", ""));
+    let unused = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let address = unused.expect("a free port");
+    harness.platform.set_list(&[list_entry("f", address, 7, "Ready")]);
+    harness.wait_until("the list change", |harness| harness.log().contains("discovery: version 2"));
+    for id in ["a1", "a2", "a3"] {
+        assert_eq!(harness.submit(id), "+OK");
+    }
+    harness.wait_until("the outage", |harness| {
+        harness.log().contains("destination 7: health=ejected before=healthy left_out=0")
+    });
+    serve_http(&address.to_string(), |_| http_response("200 OK", "", ""));
+    harness.wait_until("the recovery", |harness| {
+        harness.log().contains("destination 7: health=recovering before=ejected left_out=0")
+    });
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -85,6 +85,8 @@
 const LOCAL_ERROR_BACKOFF: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(320)];
 /// The part of the hold that is kept free is `max_held` divided by this number, and at least one packet.
 const HOLD_RESERVE_DIVISOR: usize = 16;
+/// Number of changes of health that are kept for the host.
+const MAX_HEALTH_CHANGES: usize = 64;
 /// Number of destinations whose learned state is retained; see `evict_idle`.
 const MAX_ACTIVE_DESTINATIONS: usize = 4096;
 
@@ -108,6 +110,16 @@
 }
 
 impl Health {
+    /// The state without its time, for the host.
+    fn state(self) -> HealthState {
+        match self {
+            Health::Healthy => HealthState::Healthy,
+            Health::Unresponsive => HealthState::Unresponsive,
+            Health::Ejected => HealthState::Ejected,
+            Health::Recovering(_) => HealthState::Recovering,
+        }
+    }
+
     fn receives_only_probes(self) -> bool {
         matches!(self, Health::Unresponsive | Health::Ejected)
     }
@@ -525,6 +537,8 @@
     list_request_failures: u32,
     /// Whether responses are to be expected that belong to no call.
     response_doubt: ResponseDoubt,
+    /// Changes of health that the host has not taken yet, [`MAX_HEALTH_CHANGES`] at most.
+    health_changes: Vec<HealthChange>,
 }
 
 impl Sender {
@@ -828,7 +842,13 @@
         tracked.packet.dispatches = tracked.packet.dispatches.max(min_dispatches);
         let (state, key, destination) = (tracked.state, tracked.packet.key, tracked.packet.destination);
         let (PacketState::InFlight(call, _) | PacketState::Withdrawn(call)) = state else { return };
+        let upstream_id = self.calls.get(&call).map(|call| call.upstream_id);
+        let health = |sender: &Self| Some(sender.upstreams.get(&upstream_id?)?.health.state());
+        let health_before = health(self);
         let sent_at = self.learn_from(call, elapsed, outcome, attribution);
+        if let (Some(upstream_id), Some(before), Some(after)) = (upstream_id, health_before, health(self)) {
+            self.record_health_change(upstream_id, before, after);
+        }
         self.response_doubt.record_attribution(attribution);
         let may_still_execute = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
             || (attribution == Attribution::InDoubt && outcome != Outcome::Done && !completed);
@@ -903,6 +923,18 @@
         self.response_doubt.unresolved_delivery(now)
     }
 
+    fn record_health_change(&mut self, upstream_id: UpstreamId, before: HealthState, after: HealthState) {
+        if before != after && self.health_changes.len() < MAX_HEALTH_CHANGES {
+            let (destination, endpoint) = upstream_id;
+            self.health_changes.push(HealthChange { destination, endpoint, before, after });
+        }
+    }
+
+    /// Removes and returns the changes of health that outcomes have caused since the last call, oldest first.
+    pub fn take_health_changes(&mut self) -> Vec<HealthChange> {
+        std::mem::take(&mut self.health_changes)
+    }
+
     /// Whether packets of a category may be dispatched again after a dispatch that may have executed.
     pub fn may_repeat(&self, category: CategoryId) -> bool {
         self.parameters.settings.categories[category.0].repeat != Repeat::Unrepeatable
--- a/src/host.rs
+++ b/src/host.rs
@@ -202,6 +202,29 @@
     Unsent,
 }
 
+/// The health of a destination or, where each route has limits of its own, of one route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthState {
+    /// Calls are answered.
+    Healthy,
+    /// Calls are stalled and nothing is answered, but no outage has been detected.
+    Unresponsive,
+    /// An outage has been detected.
+    Ejected,
+    /// Calls are answered again; it may be cold.
+    Recovering,
+}
+
+/// A change of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HealthChange {
+    pub destination: DestinationId,
+    /// The route, where each has limits of its own.
+    pub endpoint: Option<EndpointId>,
+    pub before: HealthState,
+    pub after: HealthState,
+}
+
 /// What an answer reports about an upstream's rate limit, which all senders share. The values are delayed and
 /// noisy.
 #[derive(Clone, Copy, Debug, PartialEq)]
