Responses that all differ stay certain on a connection of any age

Read in review, not seen by a caller: after 64 different responses every further one on a connection counted as a possible copy, so a long-lived connection whose endpoint reports its load would have been in doubt for good. Now the 256 most recent different responses are remembered. Test: 10,000 calls on one connection; red before at call 64.

--- a/src/response_matching.rs
+++ b/src/response_matching.rs
@@ -12,9 +12,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Number of different responses that are remembered for each connection. Beyond it, each response counts as
-/// a possible copy.
-const MAX_REMEMBERED_RESPONSES: usize = 64;
+/// Number of different responses that are remembered for each connection: the most recent ones. A copy of an
+/// older one is not recognized.
+const MAX_REMEMBERED_RESPONSES: usize = 256;
 /// Number of calls in doubt that are remembered for each connection; the oldest are forgotten first.
 const MAX_CALLS_IN_DOUBT: usize = 16;
 
@@ -46,8 +46,8 @@
 /// Matches the responses on one connection to its calls. Times are those of the caller's monotonic clock.
 #[derive(Clone, Debug)]
 pub struct ResponseMatcher<Call, Response> {
-    /// Fingerprints of the different responses received so far.
-    fingerprints: Vec<u64>,
+    /// Fingerprints of the most recent different responses, oldest first.
+    fingerprints: VecDeque<u64>,
     /// The calls since the last one that was matched for certain, oldest first.
     open_calls: VecDeque<Call>,
     /// The responses since then.
@@ -57,7 +57,7 @@
 impl<Call, Response> Default for ResponseMatcher<Call, Response> {
     fn default() -> Self {
         ResponseMatcher {
-            fingerprints: Vec::new(),
+            fingerprints: VecDeque::new(),
             open_calls: VecDeque::new(),
             open_responses: VecDeque::new(),
         }
@@ -110,10 +110,7 @@
     /// Whether a response equals an earlier one on this connection.
     pub fn is_repeated(&self, fingerprint: Option<u64>) -> bool {
         match fingerprint {
-            Some(fingerprint) => {
-                self.fingerprints.contains(&fingerprint)
-                    || self.fingerprints.len() >= MAX_REMEMBERED_RESPONSES
-            }
+            Some(fingerprint) => self.fingerprints.contains(&fingerprint),
             // An incomplete response may be the beginning of any earlier one.
             None => !self.fingerprints.is_empty(),
         }
@@ -140,7 +137,10 @@
     fn record(&mut self, now: Duration, fingerprint: Option<u64>, response: Response) {
         let may_be_copy = self.is_repeated(fingerprint);
         if let Some(fingerprint) = fingerprint.filter(|_| !may_be_copy) {
-            self.fingerprints.push(fingerprint);
+            if self.fingerprints.len() >= MAX_REMEMBERED_RESPONSES {
+                self.fingerprints.pop_front();
+            }
+            self.fingerprints.push_back(fingerprint);
         }
         self.open_responses.push_back(OpenResponse { response, may_be_copy, received_at: now });
     }
--- a/tests/response_matching.rs
+++ b/tests/response_matching.rs
@@ -122,3 +122,15 @@
     assert!(in_doubt.len() <= 16, "{} calls", in_doubt.len());
     assert_eq!(in_doubt.last().map(|last| last.call), Some(999));
 }
+
+#[test]
+fn responses_that_all_differ_stay_certain_on_a_connection_of_any_age() {
+    let mut matcher = ResponseMatcher::<u32, ()>::default();
+    for call in 0..10_000 {
+        matcher.call_sent(call);
+        let attribution = matcher.response_received(Duration::ZERO, Some(u64::from(call)), ());
+        assert_eq!(attribution, Attribution::Certain, "call {call}");
+    }
+    matcher.call_sent(10_000);
+    assert_eq!(matcher.response_received(Duration::ZERO, Some(9_900), ()), Attribution::InDoubt);
+}
