--- a/crates/sailcart-lab/src/watcher/mod.rs
+++ b/crates/sailcart-lab/src/watcher/mod.rs
@@ -330,7 +330,7 @@
 
     fn sender_down(&mut self, sender: SenderId) {
         self.state.down_senders.insert(sender);
-        self.exactly_once.mark_recent_deliveries_unread(&self.state, sender);
+        self.exactly_once.sender_down(&self.state, sender);
         self.backpressure.sender_down(sender);
         self.key_order.sender_down(&self.state, sender);
     }
--- a/crates/sailcart-lab/tests/soak.rs
+++ b/crates/sailcart-lab/tests/soak.rs
@@ -172,3 +172,37 @@
         assert_eq!(watcher.count(Rule::OneEnd), u64::from(is_violation), "{reported_at:?} {restarted}");
     }
 }
+
+/// After a client has abandoned a submission, whatever its sender does with that id counts for nothing.
+#[test]
+fn a_dismissal_of_an_abandoned_submission_is_no_violation() {
+    let ms = Duration::from_millis;
+    let soak_experiment = experiment::build(&[], 2, RUN_SPAN, 40.0);
+    let plan = Plan::new(soak_experiment.clone(), 1).expect("a plan");
+    let is_unrepeatable = |planned: &sailcart_lab::plan::PlannedPacket| {
+        plan.category(planned.category).repeat == Repeat::Unrepeatable
+    };
+    let unrepeatable = plan.planned_packets.iter().position(is_unrepeatable);
+    let planned_packet = PlannedPacketId(unrepeatable.expect("an unrepeatable packet"));
+    for is_abandoned in [true, false] {
+        let mut watcher = Watcher::new(&soak_experiment.rules);
+        for (packet, sender) in [(0, 0), (1, 1)] {
+            let submitted = SubmittedPacket::new(&plan, PacketId(packet), planned_packet, SenderId(sender));
+            watcher.observe(ms(1), &Observation::Submitted(submitted));
+            if packet == 0 && is_abandoned {
+                watcher.observe(ms(2), &Observation::Abandoned(PacketId(0)));
+            }
+        }
+        let call = Observation::CallReceived {
+            call: CallId(1),
+            sender: SenderId(1),
+            endpoint: EndpointId(0),
+            upstream: UpstreamId(0),
+            packets: vec![PacketId(1)],
+        };
+        watcher.observe(ms(5), &call);
+        watcher.observe(ms(5), &Observation::Executed(CallId(1), vec![true]));
+        watcher.observe(ms(6), &Observation::Completed(PacketId(0), CompletionKind::Dismissed));
+        assert_eq!(watcher.count(Rule::NoDouble), u64::from(!is_abandoned));
+    }
+}
