A wait in a refusal whose doubt is not over yet binds at once

Cause: a refusal in doubt is held back for the settle time, until the response that a copy may have displaced would have come; with it the wait that it requests was held back, and another call went to the destination meanwhile. The wait is passed on when it is read, and what is left of it counts when the outcome stands. Looked at for the same: waits in extra, skipped and displaced responses were passed on at once already.

--- a/crates/sailcart-sender/src/endpoints/send.rs
+++ b/crates/sailcart-sender/src/endpoints/send.rs
@@ -125,13 +125,18 @@
     sent: SentResult,
     owner: &Rc<impl CallOwner>,
 ) -> SentResult {
-    let settled_at = (Instant::now() + owner.settle_time()).min(call.started_at + call.timeout);
+    let received_at = Instant::now();
+    if let Some(wait) = sent.head.as_ref().and_then(|head| head.retry_after) {
+        owner.wait_requested(call.endpoint, wait);
+    }
+    let settled_at = (received_at + owner.settle_time()).min(call.started_at + call.timeout);
     loop {
         let mut response = Response::default();
         match timeout_at(settled_at.into(), connection.read_response(&mut response)).await {
             Err(_) if response.first_byte_at.is_none() => {
                 connection.matcher.settle(connection.age(), Duration::ZERO);
-                return SentResult { attribution: Attribution::Certain, ..sent };
+                let outcomes = remaining_waits(&sent.outcomes, received_at.elapsed());
+                return SentResult { outcomes, attribution: Attribution::Certain, ..sent };
             }
             Err(_) => return SentResult { ending: Ending::Close("in_doubt"), ..sent },
             Ok(Err(error)) => return SentResult { ending: Ending::Close(log_code(&error)), ..sent },
@@ -153,6 +158,17 @@
     }
 }
 
+/// The outcomes of a response that was received some time ago: their waits count from then.
+fn remaining_waits(outcomes: &[PacketOutcome], elapsed: Duration) -> Vec<PacketOutcome> {
+    let remaining = |outcome: Outcome| match outcome {
+        Outcome::Full(Some(wait)) => {
+            Outcome::Full(Some(wait.saturating_sub(elapsed)).filter(|left| !left.is_zero()))
+        }
+        other => other,
+    };
+    outcomes.iter().map(|(outcome, completed)| (remaining(*outcome), *completed)).collect()
+}
+
 /// Writes a request and reads its response; nothing is sent again. A response may arrive before the request
 /// is written completely; the rest of the request is then not written. An endpoint may also have responded
 /// before it closes with unread input, so a failed write does not end the call.
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -133,6 +133,11 @@
         self.round_requested.notify_one();
     }
 
+    fn wait_requested(&self, endpoint: EndpointId, wait: Duration) {
+        let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
+        sender.record_wait(host.clock.now(), endpoint, wait);
+    }
+
     fn extra_response_received(&self, endpoint: EndpointId, head: Option<&Head>) {
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
         sender.record_extra_response(host.clock.now(), endpoint, head.and_then(|head| head.retry_after));
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -121,6 +121,9 @@
         attribution: Attribution,
     );
 
+    /// Receives the wait that a response requests whose outcome is not known yet.
+    fn wait_requested(&self, endpoint: EndpointId, wait: Duration);
+
     /// Receives a response that belongs to no call, as far as it was received.
     fn extra_response_received(&self, endpoint: EndpointId, head: Option<&Head>);
 
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -586,3 +586,26 @@
         }
     }
 }
+
+#[test]
+fn the_wait_in_a_refusal_in_doubt_is_heeded_while_the_doubt_lasts() {
+    const RETRY_AFTER: Duration = Duration::from_millis(1000);
+    const WAIT: &str = "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 1.0\r\nContent-Length: 0\r\n\r\n";
+    let (wait_written, may_submit) = channel();
+    let endpoint = ScriptedEndpoint::start(move |mut peer| {
+        // The second refusal equals the first, so it is in doubt.
+        for _ in 0..2 {
+            peer.read_call();
+            peer.write(WAIT);
+            wait_written.send(Instant::now()).expect("the test waits");
+        }
+        peer.respond_ok();
+    });
+    let harness = start_sender("doubtful-wait", &endpoint, &[]);
+    submit_with_patience(&harness, "a1", 8000);
+    may_submit.recv_timeout(READ_TIMEOUT).expect("the first wait");
+    let second_wait = may_submit.recv_timeout(READ_TIMEOUT).expect("the second wait");
+    submit_with_patience(&harness, "a2", 8000);
+    harness.wait_until("a2 is called", |_| endpoint.calls_with("a2") == 1);
+    assert!(second_wait.elapsed() >= RETRY_AFTER, "called after {:?}", second_wait.elapsed());
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -905,10 +905,15 @@
     /// the response that a copy displaced.
     pub fn record_extra_response(&mut self, now: Duration, endpoint: EndpointId, wait: Option<Duration>) {
         self.response_doubt.record_extra_response(now);
-        let Some(upstream_id) = self.endpoints.get(&endpoint).map(|endpoint| endpoint.upstream_id) else {
-            return;
-        };
-        if let (Some(upstream), Some(wait)) = (self.upstreams.get_mut(&upstream_id), wait) {
+        if let Some(wait) = wait {
+            self.record_wait(now, endpoint, wait);
+        }
+    }
+
+    /// Records a Retry-After wait that was requested before the outcome of its call is known.
+    pub fn record_wait(&mut self, now: Duration, endpoint: EndpointId, wait: Duration) {
+        let upstream_id = self.endpoints.get(&endpoint).map(|endpoint| endpoint.upstream_id);
+        if let Some(upstream) = upstream_id.and_then(|id| self.upstreams.get_mut(&id)) {
             upstream.blocked_until = upstream.blocked_until.max(now.saturating_add(wait));
         }
     }
