The end of a doubt no longer displaces the round in which a packet expires

Its story: dismissed at 3185.615 of the monotonic clock, due 3184.21; no round of the sender between 3183.715, 'responses: unresolved=1', and then. Change: the end of a doubt is a time of its own beside them. Test on real processes: a packet due after 3 s is told after 5.0 s without the change (red), in time with it.

--- a/crates/sailcart-sender/src/exchange/confirmation.rs
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -100,9 +100,13 @@
             oldest.into_iter().for_each(|(id, delivery)| self.settle_delivery(id, &delivery, sender));
         }
         self.unconfirmed.insert(id, UnconfirmedDelivery { packet, state, settles_at });
-        if let Some(at) = Instant::now().checked_add(settle_time) {
-            self.scheduled_rounds.schedule(at);
-        }
+    }
+
+    /// When the next delivery settles. Kept apart from the rounds that the sender schedules, as these drop one
+    /// another.
+    pub(super) fn next_settlement(&self) -> Option<Instant> {
+        let next = self.unconfirmed.values().map(|delivery| delivery.settles_at).min()?;
+        Instant::now().checked_add(next.saturating_sub(self.clock.now()))
     }
 
     /// Ends the doubt about the deliveries whose settle time is over.
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -142,7 +142,8 @@
         loop {
             let (scheduled, recorded) = {
                 let host = &self.inner.borrow().host;
-                (host.scheduled_rounds.next(), host.ledger.is_recorded())
+                let due = [host.scheduled_rounds.next(), host.next_settlement()];
+                (due.into_iter().flatten().min(), host.ledger.is_recorded())
             };
             let latest = Instant::now() + if recorded { MAX_ROUND_INTERVAL } else { WRITE_RETRY_INTERVAL };
             tokio::select! {
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -609,3 +609,31 @@
     harness.wait_until("a2 is called", |_| endpoint.calls_with("a2") == 1);
     assert!(second_wait.elapsed() >= RETRY_AFTER, "called after {:?}", second_wait.elapsed());
 }
+
+#[test]
+fn a_round_for_a_delivery_in_doubt_does_not_displace_the_round_in_which_a_packet_expires() {
+    const SOFT_LIMIT: Duration = Duration::from_secs(3);
+    let endpoint = ScriptedEndpoint::start(|mut peer| {
+        while peer.read_call().is_some() {
+            peer.write(OK);
+        }
+    });
+    let many_senders = (r#""balancers": 1"#, r#""balancers": 24"#);
+    let harness = start_sender("doubt-round", &endpoint, &[many_senders]);
+    harness.platform.set_list(&[
+        list_entry("f", endpoint.address, 7, "Ready"),
+        list_entry("g", harness.endpoint_address, 8, "Terminating"),
+    ]);
+    harness.wait_until("the list change", |harness| harness.log().contains("discovery: version 3"));
+    let submitted_at = Instant::now();
+    // Its destination has no endpoint, so it is dismissed after the soft limit.
+    let reply = submit(harness.listen_address, "b1", "c=notice,t=acme,d=20000,k=b1,dest=8", "hello");
+    assert_eq!(reply.expect("the sender replies"), "+OK");
+    for id in ["a1", "a2"] {
+        submit_with_patience(&harness, id, 20_000);
+        harness.wait_until("its outcome", |harness| harness.log().contains(&format!("packet {id} from")));
+    }
+    harness.wait_until("the notice", |harness| has_notice(harness, "b1"));
+    let elapsed = submitted_at.elapsed();
+    assert!(elapsed < SOFT_LIMIT + Duration::from_millis(300), "told after {elapsed:?}");
+}
