Soak: a sender that is being stopped again does not count as up

Its story: a second restart sends SIGTERM while the first one still waits for PING; the process answers ('listens', then 'stops' in the same millisecond), and the first restart told the watcher that the sender is up. So the 1.5 s after 'ready again' ran out in the middle of the second restart. Change: a sender counts as up only if no other restart has begun.

--- a/crates/sailcart-lab/src/sockets/process.rs
+++ b/crates/sailcart-lab/src/sockets/process.rs
@@ -330,7 +330,10 @@
         }
         match self.start(sender).await {
             Ok(()) if self.wait_until_ready(sender, Duration::from_secs(10)).await.is_ok() => {
-                self.shared.observe(Observation::SenderUp(sender));
+                // Another restart may have begun meanwhile, and the process that answered is being stopped.
+                if process.expected_running.get() {
+                    self.shared.observe(Observation::SenderUp(sender));
+                }
             }
             _ => self.shared.tally.borrow_mut().increment(Counter::Crashes),
         }
