A delivery is told as failed only where responses usually differ or one was extra

Cause: 'suspicious until equal responses turn out to be usual' made the first three doubts of every process suspicious, also where all responses are equal and nothing is wrong. Change: a doubt is suspicious where eight responses differed from all before them for each in doubt, this one included; first responses on a connection and calls without a response count for neither.

--- a/crates/sailcart-sender/src/endpoints/mod.rs
+++ b/crates/sailcart-sender/src/endpoints/mod.rs
@@ -80,7 +80,7 @@
     pub async fn execute(self: Rc<Self>, call: Call, owner: Rc<impl CallOwner>) {
         owner.wait_for_key_order(&call).await;
         let (outcomes, head, attribution) = match self.connect(&call, &owner).await {
-            Err(outcome) => (same_for_all(&call, outcome), None, Attribution::Certain),
+            Err(outcome) => (same_for_all(&call, outcome), None, Attribution::First),
             Ok(connection) => self.send_if_permitted(&call, connection, &owner).await,
         };
         owner.call_completed(&call, &outcomes, head.as_ref(), attribution);
@@ -93,7 +93,7 @@
         mut connection: EndpointConnection,
         owner: &Rc<impl CallOwner>,
     ) -> (Vec<PacketOutcome>, Option<Head>, Attribution) {
-        let not_sent = |outcome| (same_for_all(call, outcome), None, Attribution::Certain);
+        let not_sent = |outcome| (same_for_all(call, outcome), None, Attribution::First);
         let permit = match owner.permit(call) {
             Ok(permit) => permit,
             Err(refusal) => {
--- a/crates/sailcart-sender/src/endpoints/send.rs
+++ b/crates/sailcart-sender/src/endpoints/send.rs
@@ -89,8 +89,9 @@
     let attribution = if received.status.is_some() {
         connection.matcher.response_received(connection.age(), fingerprint, received.clone())
     } else {
-        Attribution::Certain
+        Attribution::First
     };
+    let attribution = if connection.calls == 1 { Attribution::First } else { attribution };
     // An error in a head that was received completely makes the response malformed.
     let usable = result.is_ok() || call::proves_delivery(received.status, call.packets.len());
     let outcomes = received.outcomes(&call.packet_ids()).filter(|_| usable);
@@ -110,7 +111,7 @@
         () = call.cancelled.notified() => SentResult {
             outcomes: same_for_all(call, Outcome::Cancelled),
             head: None,
-            attribution: Attribution::Certain,
+            attribution: Attribution::First,
             ending: Ending::Close("called_off"),
         },
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -807,7 +807,7 @@
         outcome: Outcome,
         completed: bool,
     ) {
-        self.record_attributed_outcome(now, id, elapsed, outcome, completed, Attribution::Certain);
+        self.record_attributed_outcome(now, id, elapsed, outcome, completed, Attribution::First);
     }
 
     /// Like [`record_outcome`](Self::record_outcome), with whether the response is known to belong to the
--- a/src/response_doubt.rs
+++ b/src/response_doubt.rs
@@ -8,7 +8,7 @@
 //! Where a response in doubt is suspicious, its connection carries no further call until it has settled, and a
 //! delivery whose doubt is never resolved completes with a notice at its deadline: a notice of a packet that was
 //! delivered is harmless, a packet without either is lost. It is suspicious for [`EXTRA_RESPONSE_MEMORY`] after an
-//! extra response was seen, and as long as equal responses are unusual. Elsewhere, as where all deliveries are
+//! extra response was seen, and where equal responses have turned out to be unusual. Elsewhere, as where all deliveries are
 //! answered with the same bytes, a provisional delivery becomes final after the settle time.
 
 use std::time::Duration;
@@ -38,10 +38,8 @@
     NotifiedAtDeadline,
 }
 
-/// Responses in doubt are usual from this number on, if they are also [`USUAL_DOUBT_SHARE`] of all.
-const MIN_USUAL_DOUBTS: u64 = 4;
-/// Share of all responses from which on responses in doubt are usual.
-const USUAL_DOUBT_SHARE: f64 = 1.0 / 8.0;
+/// Equal responses are unusual where at least so many differ from all earlier ones for each that does not.
+const MIN_DISTINCT_PER_DOUBT: u64 = 8;
 
 /// The connections that carry calls with notices. All acknowledgements are equal, and one that belongs to an
 /// earlier call would end notices that the platform has not received. The platform's agent is on the sender's
@@ -64,8 +62,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct ResponseDoubt {
     last_extra_response_at: Option<Duration>,
-    /// Number of outcomes, and of those whose response was in doubt.
-    outcomes: u64,
+    /// Number of responses that differed from all earlier ones on their connections.
+    distinct: u64,
+    /// Number of responses in doubt.
     doubts: u64,
 }
 
@@ -77,18 +76,21 @@
 
     /// Records whether the response to a call was in doubt.
     pub fn record_attribution(&mut self, attribution: Attribution) {
-        self.outcomes += 1;
-        self.doubts += u64::from(attribution == Attribution::InDoubt);
+        match attribution {
+            Attribution::First => {}
+            Attribution::Certain => self.distinct += 1,
+            Attribution::InDoubt => self.doubts += 1,
+        }
     }
 
-    /// Whether responses in doubt are ordinary here, because endpoints give equal responses to most calls.
-    fn doubts_are_usual(&self) -> bool {
-        self.doubts >= MIN_USUAL_DOUBTS && self.doubts as f64 >= self.outcomes as f64 * USUAL_DOUBT_SHARE
+    /// Whether responses on a connection usually differ, as where endpoints report their load.
+    fn responses_usually_differ(&self) -> bool {
+        self.distinct >= MIN_DISTINCT_PER_DOUBT * self.doubts.max(1)
     }
 
     /// Whether a response in doubt may well belong to another call.
     fn doubt_is_suspicious(&self, now: Duration) -> bool {
-        self.extra_responses_expected(now) || !self.doubts_are_usual()
+        self.extra_responses_expected(now) || self.responses_usually_differ()
     }
 
     /// Whether further extra responses are expected.
@@ -122,6 +124,6 @@
 
     /// Whether the success in a response says anything about the health of an upstream.
     pub fn proves_health(attribution: Attribution, receives_only_probes: bool) -> bool {
-        attribution == Attribution::Certain || !receives_only_probes
+        attribution != Attribution::InDoubt || !receives_only_probes
     }
 }
--- a/src/response_matching.rs
+++ b/src/response_matching.rs
@@ -21,7 +21,10 @@
 /// Whether a response is known to belong to its call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Attribution {
-    /// It is the response to its call.
+    /// There was no earlier response on the connection with which it could be confused, or there is none to the
+    /// call.
+    First,
+    /// It is the response to its call, as it differs from all earlier ones.
     Certain,
     /// It may be a copy of an earlier response, or the response to an earlier call.
     InDoubt,
