A delivery in doubt holds its key back until it is confirmed or its notice acknowledged

Packet 531, in order and unrepeatable, 'Done' by a copy of a 200 with noise behind it; the noise ended the connection, the endpoint's call with it, and 1531 of the same key was called 3.9 s later, 4.1 s before the notice of 531. Cause: the notice at the deadline was recorded without entering its packet among those whose key waits for the platform. Change: it is entered, also for all deliveries that wait for their confirmation when an extra response is seen; a confirmation or a correction takes it out. Test: the same on real processes; red before ('a3 was sent before the end of a2'), green now.

--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -142,6 +142,7 @@
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
         sender.record_extra_response(host.clock.now(), endpoint, head.and_then(|head| head.retry_after));
         host.doubtful_responses.count(DoubtEvent::Extra, &format_args!("endpoint {}", endpoint.0));
+        host.protect_unconfirmed_deliveries();
     }
 
     fn resolve(&self, calls: CallsInDoubt) {
@@ -154,6 +155,7 @@
                 inner.resolve_packet(*id, outcome);
             }
         }
+        self.notices_acknowledged.notify_waiters();
         self.round_requested.notify_one();
     }
 }
--- a/crates/sailcart-sender/src/exchange/confirmation.rs
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -93,6 +93,7 @@
             UnresolvedDelivery::Completed => self.ledger.complete(id),
             UnresolvedDelivery::NotifiedAtDeadline => {
                 self.ledger.complete_with_notice_at_deadline(id, Notice::Scrapped);
+                self.hold_back_later_packets(&packet);
             }
         }
         if self.unconfirmed.len() >= MAX_UNCONFIRMED_DELIVERIES {
@@ -102,6 +103,26 @@
         self.unconfirmed.insert(id, UnconfirmedDelivery { packet, state, settles_at });
     }
 
+    /// Records a notice at its deadline for each delivery that waits for its confirmation, as an extra response was
+    /// seen: it may have been one of these that a copy displaced.
+    pub(super) fn protect_unconfirmed_deliveries(&mut self) {
+        let packets: Vec<Rc<Packet>> =
+            self.unconfirmed.values().map(|delivery| delivery.packet.clone()).collect();
+        packets.iter().for_each(|packet| self.notify_at_deadline(packet));
+    }
+
+    fn notify_at_deadline(&mut self, packet: &Packet) {
+        self.ledger.replace_completion_with_notice(packet, Notice::Scrapped);
+        self.hold_back_later_packets(packet);
+    }
+
+    /// Holds back later packets of the same key: this one has not completed for the platform.
+    fn hold_back_later_packets(&mut self, packet: &Packet) {
+        if let Some(key) = self.order_key(packet) {
+            self.unacknowledged.insert(packet.number, key);
+        }
+    }
+
     /// When the next delivery settles. Kept apart from the rounds that the sender schedules, as these drop one
     /// another.
     pub(super) fn next_settlement(&self) -> Option<Instant> {
@@ -121,7 +142,7 @@
     fn settle_delivery(&mut self, id: PacketId, delivery: &UnconfirmedDelivery, sender: &Sender) {
         if sender.unresolved_delivery(self.clock.now()) == UnresolvedDelivery::NotifiedAtDeadline {
             self.doubtful_responses.count(DoubtEvent::Unresolved, &format_args!("packet {}", id.0));
-            self.ledger.replace_completion_with_notice(&delivery.packet, Notice::Scrapped);
+            self.notify_at_deadline(&delivery.packet);
         }
     }
 
@@ -129,6 +150,7 @@
     fn confirm_delivery(&mut self, id: PacketId) {
         self.unconfirmed.remove(&id);
         self.ledger.acknowledge_notices(&[id]);
+        self.unacknowledged.remove(&[id]);
     }
 }
 
@@ -159,8 +181,9 @@
         let may_repeat =
             !may_have_executed || host.category(&packet).is_some_and(|category| sender.may_repeat(category));
         if !may_repeat || host.ledger.reopen(&packet, state).is_err() {
-            return host.ledger.replace_completion_with_notice(&packet, Notice::Scrapped);
+            return host.notify_at_deadline(&packet);
         }
+        host.unacknowledged.remove(&[id]);
         match host.sender_packet(&packet) {
             Ok(reopened) => sender.accept(host.clock.now(), reopened),
             Err(_) => host.queue_notice(id, Notice::Scrapped),
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -14,7 +14,7 @@
 mod common;
 
 use common::harness::Harness;
-use common::{Call, http_response, list_entry, submit};
+use common::{Call, http_response, list_entry, send_command, submit, submit_command_for_key};
 
 /// Longer than any expected wait in these tests.
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
@@ -637,3 +637,31 @@
     let elapsed = submitted_at.elapsed();
     assert!(elapsed < SOFT_LIMIT + Duration::from_millis(300), "told after {elapsed:?}");
 }
+
+#[test]
+fn a_copy_does_not_let_the_next_packet_of_a_key_overtake_the_one_that_it_hides() {
+    let in_order = (r#""repeat": "dedup""#, r#""fifo_by_key": true, "repeat": "fragile""#);
+    let endpoint = ScriptedEndpoint::start(|mut peer| {
+        peer.read_call();
+        peer.write(OK);
+        // The copy, with noise, is all that the second call gets.
+        peer.read_call();
+        peer.write(&format!("{OK}noise"));
+        while peer.read_call().is_some() {}
+    });
+    let harness = start_sender("copy-order", &endpoint, &[in_order]);
+    let submit_in_order = |id: &str, patience_ms: u32| {
+        let fields = format!("c=notice,t=acme,d={patience_ms},k={id},dest=7");
+        let command = submit_command_for_key("00000000000000aa", id, &fields, "hello");
+        assert_eq!(send_command(harness.listen_address, &command).expect("the sender replies"), "+OK");
+    };
+    for id in ["a1", "a2"] {
+        submit_in_order(id, 4000);
+        harness.wait_until("its outcome", |harness| harness.log().contains(&format!("packet {id} from")));
+        // Longer than the settle time, so that the second call goes out on the connection of the first.
+        thread::sleep(Duration::from_millis(if id == "a1" { 3200 } else { 300 }));
+    }
+    submit_in_order("a3", 20_000);
+    harness.wait_until("a3 is called", |_| endpoint.calls_with("a3") == 1);
+    assert!(has_notice(&harness, "a2"), "a3 was sent before the end of a2\n{}", harness.log());
+}
