--- a/crates/sailcart-lab/tests/soak.rs
+++ b/crates/sailcart-lab/tests/soak.rs
@@ -146,8 +146,7 @@
     }
 }
 
-/// The protocol calls a notice about a packet that is over harmless. It must not come while the packet could
-/// still be delivered by the same process.
+/// Before its deadline, the same process could still deliver the packet.
 #[test]
 fn a_failure_after_a_delivery_is_a_violation_before_the_deadline_alone() {
     let soak_experiment = experiment::build(&[], 2, RUN_SPAN, 40.0);
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -138,8 +138,7 @@
     channel()
 }
 
-/// Sends a2 on the connection on which a1 was answered, with or without a copy of that answer behind the call,
-/// and returns the number of calls with a2 once it has been repeated or ended by a notice.
+/// The number of calls with a2, which is refused behind `copy`, once it has been repeated or ended by a notice.
 fn calls_with_a_refused_packet(scenario: &str, true_ok: &'static str, copy: &'static str) -> usize {
     let endpoint = ScriptedEndpoint::start(move |mut peer| {
         peer.read_call();
@@ -323,8 +322,7 @@
     }
 }
 
-/// Serves a connection: the first call gets `first`, and each further one a copy of the response before it and
-/// then its own.
+/// Responds `first` to the first call, and a copy of the previous response before its own to each other.
 fn serve_with_copies(mut peer: Peer, first: &'static str, form: CopyForm, tally: &Mutex<Tally>) {
     let respond = |id: &str, first: Option<&'static str>| {
         tally.lock().expect("mutex is not poisoned").respond(id, first)
