Packets in order go on a new connection unless responses usually differ

The first copy that a process met, a 200 where all are equal, ended a packet in order after 17 ms, and the next of its key was called 13 ms later while the first still ran. Cause: a delivery in doubt is provisional, and its key was held back only where doubt is suspicious. Change: such a packet goes where its response is certain: on a new connection, or on a settled one where responses usually differ; there a doubt is suspicious and the key is held back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -885,9 +885,6 @@
     /// Which connections may carry a call with these packets.
     pub fn connection_choice(&self, now: Duration, packets: &[PacketId]) -> ConnectionChoice {
         let tracked = || packets.iter().filter_map(|id| self.packets.get(id));
-        let needs_exact_outcome = |tracked: &TrackedPacket| {
-            tracked.category.repeat == Repeat::Unrepeatable || tracked.category.in_order
-        };
         let is_probe = |tracked: &TrackedPacket| match tracked.state {
             PacketState::InFlight(call, _) => {
                 self.upstreams[&self.calls[&call].upstream_id].health.receives_only_probes()
@@ -895,7 +892,8 @@
             _ => false,
         };
         let needs = CallNeeds {
-            exact_outcome: tracked().any(needs_exact_outcome),
+            exact_outcome: tracked().any(|tracked| tracked.category.repeat == Repeat::Unrepeatable),
+            in_order: tracked().any(|tracked| tracked.category.in_order && tracked.packet.key.is_some()),
             is_probe: tracked().any(is_probe),
         };
         self.response_doubt.connection_choice(now, needs)
--- a/src/response_doubt.rs
+++ b/src/response_doubt.rs
@@ -52,8 +52,10 @@
 /// What a call needs of its response.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallNeeds {
-    /// A packet may not be executed twice, or others wait for its completion.
+    /// A packet may not be executed twice.
     pub exact_outcome: bool,
+    /// Later packets of the same key wait for the completion of a packet.
+    pub in_order: bool,
     /// The response decides whether an upstream counts as healthy again.
     pub is_probe: bool,
 }
@@ -100,11 +102,17 @@
 
     /// Which connections may carry a call.
     pub fn connection_choice(&self, now: Duration, needs: CallNeeds) -> ConnectionChoice {
-        match (needs.is_probe, needs.exact_outcome) {
-            (true, _) => ConnectionChoice::New,
-            (_, true) if self.extra_responses_expected(now) => ConnectionChoice::New,
-            (_, true) => ConnectionChoice::Settled,
-            _ => ConnectionChoice::Any,
+        let CallNeeds { exact_outcome, in_order, is_probe } = needs;
+        let needs_certainty = exact_outcome || in_order;
+        if is_probe || (needs_certainty && self.extra_responses_expected(now)) {
+            ConnectionChoice::New
+        } else if in_order && !self.responses_usually_differ() {
+            // The next packet of the key would be sent before a doubt has ended.
+            ConnectionChoice::New
+        } else if needs_certainty {
+            ConnectionChoice::Settled
+        } else {
+            ConnectionChoice::Any
         }
     }
 
