Responses in doubt: a bound on kept bodies; silence teaches nothing of how they differ

Read in review, seen by no caller. - Each connection keeps up to sixteen responses in doubt, with bodies of up to 64 KiB: 200 connections could hold 200 MB. Bodies over 4 KiB are left out; a list of packets without its body proves of none that it never ran. Test of the bound. - A refusal that stood after the settle time counted as one that differed from all before it, although it equals one; it counts for neither now.

--- a/crates/sailcart-sender/src/endpoints/send.rs
+++ b/crates/sailcart-sender/src/endpoints/send.rs
@@ -87,7 +87,7 @@
     let (head, fingerprint) = (response.head.clone(), response.fingerprint);
     let received = ReceivedResponse::of(response);
     let attribution = if received.status.is_some() {
-        connection.matcher.response_received(connection.age(), fingerprint, received.clone())
+        connection.matcher.response_received(connection.age(), fingerprint, received.to_keep())
     } else {
         Attribution::First
     };
@@ -137,7 +137,7 @@
             Err(_) if response.first_byte_at.is_none() => {
                 connection.matcher.settle(connection.age(), Duration::ZERO);
                 let outcomes = remaining_waits(&sent.outcomes, received_at.elapsed());
-                return SentResult { outcomes, attribution: Attribution::Certain, ..sent };
+                return SentResult { outcomes, attribution: Attribution::First, ..sent };
             }
             Err(_) => return SentResult { ending: Ending::Close("in_doubt"), ..sent },
             Ok(Err(error)) => return SentResult { ending: Ending::Close(log_code(&error)), ..sent },
--- a/crates/sailcart-sender/src/endpoints/settle.rs
+++ b/crates/sailcart-sender/src/endpoints/settle.rs
@@ -60,5 +60,5 @@
     owner.extra_response_received(endpoint, response.head.as_ref());
     let (now, fingerprint) = (connection.age(), response.fingerprint);
     let received = ReceivedResponse::of(response);
-    connection.matcher.extra_response_received(now, fingerprint, received)
+    connection.matcher.extra_response_received(now, fingerprint, received.to_keep())
 }
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Largest body that is kept of a response whose call is in doubt: room for the states of some sixty packets.
+const MAX_KEPT_BODY_BYTES: usize = 4096;
+
 /// A response that was received, perhaps not completely.
 #[derive(Debug, PartialEq)]
 pub struct ReceivedResponse {
@@ -69,9 +72,17 @@
 
 impl ReceivedResponse {
     /// What is kept of a response.
-    pub fn of(response: Response) -> Rc<ReceivedResponse> {
+    pub fn of(response: Response) -> ReceivedResponse {
         let Response { status, head, body, .. } = response;
-        Rc::new(ReceivedResponse { status, head, body })
+        ReceivedResponse { status, head, body }
+    }
+
+    /// A copy that may be kept for long: a body of more than [`MAX_KEPT_BODY_BYTES`] is left out. A list of packets
+    /// without its body says of none of them that it was not executed.
+    pub fn to_keep(&self) -> Rc<ReceivedResponse> {
+        let fits = self.body.len() <= MAX_KEPT_BODY_BYTES;
+        let body = if fits { self.body.clone() } else { Vec::new() };
+        Rc::new(ReceivedResponse { status: self.status, head: self.head.clone(), body })
     }
 
     /// The outcomes that this response gives to a call with these packets; `None` if it is incomplete and says
--- a/crates/sailcart-sender/tests/response_body.rs
+++ b/crates/sailcart-sender/tests/response_body.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use sailcart_sender::outgoing::ReceivedResponse;
 use sailcart_sender::response::{self, BodySink, MAX_PIECE_BYTES, Response, TimeLimit, TooLarge};
 use sailcart_sender::wire::http::Head;
 use tokio::net::TcpStream;
@@ -178,3 +179,12 @@
         assert_eq!((error.kind(), error.to_string().as_str()), (io::ErrorKind::InvalidData, "too large"));
     }
 }
+
+#[test]
+fn a_large_body_of_a_response_in_doubt_is_not_kept() {
+    for (length, kept) in [(4096, 4096), (4097, 0), (64 * 1024, 0)] {
+        let mut response = Response::default();
+        response.body = vec![b'x'; length];
+        assert_eq!(ReceivedResponse::of(response).to_keep().body.len(), kept);
+    }
+}
