--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -426,23 +426,24 @@
     harness.wait_until("the extra response", |harness| harness.log().contains("responses: extra=1 "));
 }
 
-/// Serves the first connection of an endpoint that writes an extra response after its first call.
-fn write_extra_response(peer: &mut Peer) {
-    peer.read_call();
-    peer.write(OK);
-    thread::sleep(Duration::from_millis(20));
-    peer.write(OK);
+/// An endpoint that writes an extra response on its first connection; `script` serves the others.
+fn start_after_extra_response(script: impl Fn(Peer) + Send + Sync + 'static) -> ScriptedEndpoint {
+    let connections = AtomicUsize::new(0);
+    ScriptedEndpoint::start_all(move |mut peer| {
+        if connections.fetch_add(1, Ordering::SeqCst) > 0 {
+            return script(peer);
+        }
+        peer.read_call();
+        peer.write(OK);
+        thread::sleep(Duration::from_millis(20));
+        peer.write(OK);
+        while peer.read_call().is_some() {}
+    })
 }
 
 #[test]
 fn a_delivery_in_doubt_whose_response_never_comes_ends_with_a_notice_at_its_deadline() {
-    let connections = AtomicUsize::new(0);
-    let endpoint = ScriptedEndpoint::start_all(move |mut peer| {
-        if connections.fetch_add(1, Ordering::SeqCst) == 0 {
-            write_extra_response(&mut peer);
-            while peer.read_call().is_some() {}
-            return;
-        }
+    let endpoint = start_after_extra_response(move |mut peer| {
         peer.read_call();
         peer.write(OK);
         peer.read_call();
@@ -467,15 +468,9 @@
 
 #[test]
 fn a_kill_between_a_copy_and_the_displaced_refusal_does_not_lose_the_packet() {
-    let connections = AtomicUsize::new(0);
     let (copy_written, may_kill) = rendezvous();
     let copy_written = Mutex::new(copy_written);
-    let endpoint = ScriptedEndpoint::start_all(move |mut peer| {
-        if connections.fetch_add(1, Ordering::SeqCst) == 0 {
-            write_extra_response(&mut peer);
-            while peer.read_call().is_some() {}
-            return;
-        }
+    let endpoint = start_after_extra_response(move |mut peer| {
         peer.read_call();
         peer.write(OK);
         if peer.read_call().as_deref() == Some("a3") {
--- a/src/response_doubt.rs
+++ b/src/response_doubt.rs
@@ -5,11 +5,12 @@
 //! host keeps the packet until the doubt has ended. One that reports anything else counts as a possible
 //! execution, and the host closes the connection, which withdraws the call from the endpoint.
 //!
-//! Where a response in doubt is suspicious, its connection carries no further call until it has settled, and a
-//! delivery whose doubt is never resolved completes with a notice at its deadline: a notice of a packet that was
-//! delivered is harmless, a packet without either is lost. It is suspicious for [`EXTRA_RESPONSE_MEMORY`] after an
-//! extra response was seen, and where equal responses have turned out to be unusual. Elsewhere, as where all deliveries are
-//! answered with the same bytes, a provisional delivery becomes final after the settle time.
+//! A doubt is suspicious for [`EXTRA_RESPONSE_MEMORY`] after an extra response was seen, and where equal responses
+//! have turned out to be unusual. Then a refusal waits for the settle time for the response that it may have
+//! displaced, a connection in doubt carries no further call until it has settled, and a delivery whose doubt is
+//! never resolved completes with a notice at its deadline: a notice of a packet that was delivered is harmless, a
+//! packet without either is lost. Elsewhere, as where all deliveries are answered with the same bytes, a
+//! provisional delivery becomes final after the settle time.
 
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 const EXTRA_RESPONSE_MEMORY: Duration = Duration::from_secs(600);
 
 /// Which connections may carry a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionChoice {
     /// Any idle connection, or a new one.
     Any,
