Test: copies of lists delay no change by six seconds and undo none

Four changes of the list behind a copy of the previous response each: in force in time, packets called or given up by the list as it is.

--- a/crates/sailcart-sender/tests/common/mod.rs
+++ b/crates/sailcart-sender/tests/common/mod.rs
@@ -139,7 +139,7 @@
         }
     }
 
-    fn reply(&self, call: &Call) -> HttpReply {
+    pub fn reply(&self, call: &Call) -> HttpReply {
         if call.start.starts_with("POST /status ") {
             if self.reject_notices.load(Ordering::Relaxed) {
                 return None;
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -14,7 +14,7 @@
 mod common;
 
 use common::harness::Harness;
-use common::{Call, http_response, list_entry, send_command, submit, submit_command_for_key};
+use common::{Call, Platform, http_response, list_entry, send_command, submit, submit_command_for_key};
 
 /// Longer than any expected wait in these tests.
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
@@ -688,3 +688,54 @@
     let on_new_connection = harness.log().lines().filter(|line| line.contains(" calls=0")).count();
     assert_eq!(on_new_connection, 3, "{}", harness.log());
 }
+
+/// A discovery that writes a copy of the previous response on a connection before each further one.
+fn start_discovery_with_copies(platform: Arc<Platform>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+    let address = listener.local_addr().expect("read the local address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let platform = platform.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                let mut previous = String::new();
+                while let Some(call) = Call::read(&mut reader) {
+                    let _ = stream.write_all(previous.as_bytes());
+                    previous = platform.reply(&call).expect("a response");
+                    if stream.write_all(previous.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn copies_of_lists_delay_no_change_by_six_seconds_and_undo_none() {
+    const MAX_LIST_DELAY: Duration = Duration::from_secs(6);
+    let mut harness = Harness::new("copy-list", |_, _| http_response("200 OK", "", ""));
+    let discovery = start_discovery_with_copies(harness.platform.clone());
+    let old_discovery = harness.discovery_address.to_string();
+    harness.restart_with(&[(&old_discovery, &discovery.to_string())]);
+    let entry = |state| list_entry("e", harness.endpoint_address, 7, state);
+    for (round, (state, accepted)) in
+        [("Terminating", false), ("Ready", true), ("Terminating", false), ("Ready", true)].iter().enumerate()
+    {
+        harness.platform.set_list(&[entry(state)]);
+        let changed_at = Instant::now();
+        let version = format!("discovery: version {}, 1 entries", round + 2);
+        harness.wait_until("the list change", |harness| harness.log().contains(&version));
+        assert!(changed_at.elapsed() < MAX_LIST_DELAY, "{:?}", changed_at.elapsed());
+        // Time for copies of the list before to arrive and be put in force, if they could be.
+        thread::sleep(Duration::from_millis(700));
+        let id = format!("p{round}");
+        submit_with_patience(&harness, &id, 20_000);
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(harness.received_ids().contains(&id), *accepted, "{}", harness.log());
+        if !accepted {
+            harness.wait_until("its end", |harness| has_notice(harness, &id));
+        }
+    }
+}
