--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,9 @@
 """A message is lost: a second copy of an answer ends it, and its own refusal is read as another call's answer.
 
 Story: partner B (kind general-partner) has one endpoint with a plain rate limit, answers without reports, and
-stands 8 ms away. A clump of messages for it comes in. One answer, a 200, is followed straight by a second copy,
-when nothing else is waiting on the connection; the copy travels 2 ms longer than the answer. From then on B is
-over its limit and turns calls away with 429 for 0.5 s; after that it takes all that come.
+stands 8 ms away, behind a proxy that delays. A clump of messages for it comes in. One answer, a 200, is followed
+straight by a second copy, when nothing else is waiting on the connection; the copy travels 2 ms longer than the
+answer. The clump goes over B's limit, and B turns calls away with 429 for 0.5 s; after that it takes all.
 Without the disruption (TROUBLE=0) there is no second copy.
 """
 
@@ -13,9 +13,10 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import lisboa
-from standin import (TROUBLE, Client, Endpoint, Platform, SenderProcess, entry, main, response)
+from standin import (TROUBLE, CannotRun, Client, Endpoint, Link, Platform, SenderProcess, entry, main, response)
 
 LATENCY = 0.008  # [net] same_ms = [5, 15]
+STRAIGHT = 0.0005  # from the answer to its copy, as the endpoint writes them
 LONGER = 0.002  # [net] jitter = [0.058, 0.32]: up to 2.56 ms of these 8
 WORK = 0.1  # [[class]] contact-upload, work_ms = [76, 130]
 PATIENCE_MS = 20000
@@ -54,18 +55,19 @@
             clump["refuse_from"] = record.now()
         answer = await take(call, WORK + 0.004 * min(number, TAKEN_AT_FIRST))
         if TROUBLE and number == 1:
-            await asyncio.sleep(LONGER)
-            call.writer.write(answer)
-            await call.writer.drain()
+            await asyncio.sleep(STRAIGHT)
+            if not call.nothing_waits():
+                raise CannotRun("something waits on the connection: no copy")
+            await call.write(answer)
             clump["copies"] += 1
-            record(f"endpoint B: a second copy of that answer on connection {call.connection}")
+            record(f"endpoint B: a second copy of that answer on connection {call.connection}, nothing waits there")
 
-    a = Endpoint(record, "A", handle_a, LATENCY)
-    b = Endpoint(record, "B", handle_b, LATENCY)
-    platform = Platform(record, [entry("s-a", a.port, 1, "general-partner"),
-                                 entry("s-b", b.port, 2, "general-partner")])
+    a, b = Endpoint(record, "A", handle_a), Endpoint(record, "B", handle_b)
+    to_a, to_b = Link(record, a, LATENCY, LONGER), Link(record, b, LATENCY, LONGER)
+    platform = Platform(record, [entry("s-a", to_a.port, 1, "general-partner"),
+                                 entry("s-b", to_b.port, 2, "general-partner")])
     sender = SenderProcess(record, "n1", lisboa.settings(), platform.port, platform.known())
-    for part in (a, b, platform):
+    for part in (a, b, to_a, to_b, platform):
         await part.start()
     try:
         sender.start()
@@ -84,6 +86,8 @@
 
         await asyncio.gather(*(hand_in(i) for i in range(CLUMP)))
         await asyncio.sleep(PATIENCE_MS / 1000 + 1.0)
+        if TROUBLE and not clump["copies"]:
+            raise CannotRun("there was no copy")
         ended = {}
         for at, id, _ in platform.notices:
             ended.setdefault(id, at)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -247,11 +247,10 @@
 
 
 class Endpoint:
-    """An endpoint. `handle(call)` returns the bytes of the answer, or None for none. `latency` is the time of
-    the network in one direction."""
+    """An endpoint. `handle(call)` returns the bytes of the answer, or None for none."""
 
-    def __init__(self, record, name, handle, latency=0.0):
-        self.record, self.name, self.handle, self.latency = record, name, handle, latency
+    def __init__(self, record, name, handle):
+        self.record, self.name, self.handle = record, name, handle
         self.port, self.server = free_port(), None
         self.writers = set()
         self.connections = 0
@@ -276,8 +275,6 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while True:
                 first, headers, body = await read_request(reader)
-                if self.latency:
-                    await asyncio.sleep(self.latency)
                 call = Call(self, number, first, headers, body, reader, writer)
                 answer = await self.handle(call)
                 if answer is not None:
@@ -299,11 +296,59 @@
         self.at = endpoint.record.now()
 
     async def write(self, answer):
-        if self.endpoint.latency:
-            await asyncio.sleep(self.endpoint.latency)
         self.writer.write(answer)
         await self.writer.drain()
 
+    def nothing_waits(self):
+        """Whether nothing has come on the connection behind this call."""
+        return not self.reader._buffer and not self.reader.at_eof()
+
+
+class Link:
+    """The network before an endpoint: a proxy that delays what is sent in either direction by `latency`, in order.
+    What an endpoint sends straight behind something else travels `longer`."""
+
+    STRAIGHT = 0.002
+
+    def __init__(self, record, endpoint, latency, longer=0.0):
+        self.record, self.endpoint, self.latency, self.longer = record, endpoint, latency, longer
+        self.port = free_port()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, HOST, self.port)
+        self.record(f"link: {HOST}:{self.port} leads to endpoint {self.endpoint.name}, {self.latency * 1000} ms")
+
+    async def serve(self, reader, writer):
+        far_reader, far_writer = await asyncio.open_connection(HOST, self.endpoint.port)
+        for stream in (writer, far_writer):
+            stream.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await asyncio.gather(self.pump(reader, far_writer, 0.0), self.pump(far_reader, writer, self.longer))
+
+    async def pump(self, reader, writer, longer):
+        queue, loop = asyncio.Queue(), asyncio.get_running_loop()
+
+        async def deliver():
+            while True:
+                at, data = await queue.get()
+                await asyncio.sleep(max(0.0, at - loop.time()))
+                if not data:
+                    writer.close()
+                    return
+                writer.write(data)
+
+        delivery, last = asyncio.create_task(deliver()), -1.0
+        try:
+            while True:
+                data = await reader.read(65536)
+                now = loop.time()
+                queue.put_nowait((now + self.latency + (longer if now - last < self.STRAIGHT else 0.0), data))
+                last = now
+                if not data:
+                    break
+        except OSError:
+            queue.put_nowait((loop.time() + self.latency, b""))
+        await delivery
+
 
 class Client:
     """A client with one connection: one request at a time, 400 ms for each answer."""
