--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,8 +26,8 @@
 class Memory:
     """Samples the memory of a process and of its folder, in KiB. The limit is taken as 2^20 bytes for an MB."""
 
-    def __init__(self, sender):
-        self.sender, self.most, self.done = sender, None, False
+    def __init__(self, record, sender):
+        self.record, self.sender, self.most, self.done = record, sender, None, False
 
     def sample(self):
         values = {}
@@ -47,15 +47,17 @@
         return values
 
     async def watch(self):
-        while not self.done:
+        while not self.done and self.sender.process.poll() is None:
             now = self.sample()
             if self.most is None or now["counted"] > self.most["counted"]:
                 self.most = now
+                self.record(f"memory in KiB: {now}")
             await asyncio.sleep(0.005)
 
 
 async def story(record):
     async def handle(call):
+        record(f"endpoint A: call {call.id} is complete and runs")
         await asyncio.sleep(0.05)
         return response(200, "OK")
 
@@ -91,6 +93,7 @@
                 await writer.drain()
                 line = await asyncio.wait_for(reader.readline(), 6)
                 errors["told" if line else "closed"] += 1
+                record(f"staying client {number}: {len(command) - 2} bytes of {len(command)}, answered {line!r}")
                 writer.close()
             except OSError:
                 errors["closed"] += 1
@@ -100,7 +103,7 @@
     try:
         sender.start()
         await sender.ready()
-        memory = Memory(sender)
+        memory = Memory(record, sender)
         watching = asyncio.create_task(memory.watch())
         usual_client = asyncio.create_task(usual())
         await asyncio.sleep(6)
@@ -114,6 +117,8 @@
         record(f"clients that stopped in the middle: {errors}")
         record(f"most memory in KiB: {memory.most}; limit {MEMORY_MB * 1024}")
         print(f"most memory in KiB: {memory.most}; limit {MEMORY_MB * 1024}")
+        if sender.process.poll() is not None:
+            return [f"the sender has ended by itself with {sender.process.returncode}"]
         if memory.most["counted"] > MEMORY_MB * 1024:
             return [f"the sender held {memory.most['counted']} KiB of {MEMORY_MB * 1024}: over memory_mb it is killed"]
         return []
