The outcome of a call that was never recorded no longer clears an earlier process's call

What callers saw: a keyed packet ran twice.

Cause: Ledger::record_outcome applied the outcome of a call without a record (connection refused) to the call that the process before had left in flight. Evidence: sailcart store show on copies of the folder, first kill '1 dispatches, one in flight, possibly executed', second kill '1 dispatches'.

Change: record_dispatch returns a RecordedDispatch, without which no outcome can be recorded; it travels in the permit of the call. A recorded call of which nothing was sent takes its count back. Exchange and Ledger are generic over the store's files, so that tests run them on simulated ones.

--- a/crates/sailcart-sender/examples/ledger.rs
+++ b/crates/sailcart-sender/examples/ledger.rs
@@ -50,7 +50,7 @@
         timed(&mut || {
             ledger
                 .record_dispatch(&[number], Moment::by_wall_clock(Duration::from_secs(1_764_000_000)))
-                .expect("the record fits")
+                .expect("the record fits");
         });
         timed(&mut || ledger.complete(number));
     }
--- a/crates/sailcart-sender/src/endpoints/mod.rs
+++ b/crates/sailcart-sender/src/endpoints/mod.rs
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sailcart::response_matching::Attribution;
 use sailcart::{EndpointId, Outcome};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -26,10 +25,9 @@
 use crate::exchange::invariants::Refusal;
 use crate::local_errors;
 use crate::memory::pool::Pool;
-use crate::outgoing::{Call, CallOwner};
+use crate::outgoing::{Call, CallOwner, CallResult};
 use crate::socket::Socket;
 use crate::wire::call::PacketOutcome;
-use crate::wire::http::Head;
 
 /// Sends calls, and holds the idle connections to endpoints.
 pub struct Endpoints {
@@ -79,11 +77,11 @@
     /// the pool, or waits for the end of its doubt.
     pub async fn execute(self: Rc<Self>, call: Call, owner: Rc<impl CallOwner>) {
         owner.wait_for_key_order(&call).await;
-        let (outcomes, head, attribution) = match self.connect(&call, &owner).await {
-            Err(outcome) => (same_for_all(&call, outcome), None, Attribution::First),
+        let result = match self.connect(&call, &owner).await {
+            Err(outcome) => CallResult::not_sent(&call, outcome, None),
             Ok(connection) => self.send_if_permitted(&call, connection, &owner).await,
         };
-        owner.call_completed(&call, &outcomes, head.as_ref(), attribution);
+        owner.call_completed(&call, result);
     }
 
     /// Sends a call on a connection if it may still be sent, and disposes of the connection.
@@ -92,35 +90,36 @@
         call: &Call,
         mut connection: EndpointConnection,
         owner: &Rc<impl CallOwner>,
-    ) -> (Vec<PacketOutcome>, Option<Head>, Attribution) {
-        let not_sent = |outcome| (same_for_all(call, outcome), None, Attribution::First);
+    ) -> CallResult {
         let permit = match owner.permit(call) {
             Ok(permit) => permit,
             Err(refusal) => {
                 self.keep(call.endpoint, connection, owner);
-                return not_sent(match refusal {
+                let outcome = match refusal {
                     Refusal::NotNow => Outcome::NoSlot,
                     Refusal::Unrecorded => Outcome::Unsent,
-                });
+                };
+                return CallResult::not_sent(call, outcome, None);
             }
         };
+        let dispatch = Some(permit.dispatch());
         // Writing the record takes time, in which the connection may have received something.
         if connection.calls > 0 {
             match connection.check_input() {
                 IdleState::Quiet => {}
                 IdleState::Closed => {
                     connection.log_end("peer_closed");
-                    return not_sent(Outcome::Unsent);
+                    return CallResult::not_sent(call, Outcome::Unsent, dispatch);
                 }
                 IdleState::Unread => {
                     self.settle(call.endpoint, connection, owner);
-                    return not_sent(Outcome::Unsent);
+                    return CallResult::not_sent(call, Outcome::Unsent, dispatch);
                 }
             }
         }
         let sent = send(call, &mut connection, permit, owner).await;
         self.dispose(call, connection, &sent, owner);
-        (sent.outcomes, sent.head, sent.attribution)
+        CallResult { outcomes: sent.outcomes, head: sent.head, attribution: sent.attribution, dispatch }
     }
 
     /// Keeps or closes a connection after a call.
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -7,6 +7,7 @@
 use sailcart::response_doubt::ConnectionChoice;
 use sailcart::response_matching::{Attribution, Candidates};
 use sailcart::{EndpointId, KeyId, Outcome, PacketId};
+use sailcart_store::Files;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
@@ -16,12 +17,12 @@
 use super::invariants::{Invariant, Permit, Refusal, SendPreconditions};
 use super::packets::key_id;
 use super::{Exchange, Inner};
-use crate::memory::{Notice, Packet};
-use crate::outgoing::{Call, CallOwner, CallsInDoubt};
-use crate::wire::call::{self, PacketOutcome};
+use crate::memory::{Execution, Notice, Packet};
+use crate::outgoing::{Call, CallOwner, CallResult, CallsInDoubt};
+use crate::wire::call;
 use crate::wire::http::Head;
 
-impl CallOwner for Exchange {
+impl<F: Files + 'static> CallOwner for Exchange<F> {
     /// Waits until all packets that precede the call's packets in the order of their keys are completed for
     /// the platform too: a completion whose notice is not acknowledged does not count. Returns early if the
     /// call times out or is cancelled.
@@ -87,25 +88,20 @@
         sender.must_settle_before_reuse(host.clock.now())
     }
 
-    fn call_completed(
-        &self,
-        call: &Call,
-        outcomes: &[PacketOutcome],
-        head: Option<&Head>,
-        attribution: Attribution,
-    ) {
+    fn call_completed(&self, call: &Call, result: CallResult) {
+        let CallResult { outcomes, head, attribution, dispatch } = result;
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
         let (now, elapsed) = (host.clock.now(), call.sent_at.get().unwrap_or(call.started_at).elapsed());
         let report = host
             .names
             .report_fields
             .as_ref()
-            .zip(head)
+            .zip(head.as_ref())
             .and_then(|(report_fields, head)| call::limit_report(head, report_fields));
         if let Some((report, first)) = report.zip(call.packets.first()) {
             sender.record_report(first.number, report);
         }
-        for (packet, (outcome, completed)) in call.packets.iter().zip(outcomes) {
+        for (packet, (outcome, completed)) in call.packets.iter().zip(&outcomes) {
             let id = packet.number;
             if host.in_flight.remove(&id).is_none() {
                 host.violations.count(Invariant::OutcomeWithoutCall, &id.0);
@@ -121,13 +117,17 @@
                 // of its failure. Such a notice is harmless for a packet that the platform knows as
                 // completed.
                 host.queue_notice(id, Notice::Scrapped);
-            } else if is_completed && attribution == Attribution::InDoubt {
-                host.complete_provisionally(id, sender);
-            } else if is_completed {
-                host.ledger.complete(id);
-            } else {
-                let in_doubt = attribution == Attribution::InDoubt;
-                host.ledger.record_outcome(id, in_doubt || may_have_executed(*outcome));
+                continue;
+            }
+            match (is_completed, attribution, dispatch) {
+                (true, Attribution::InDoubt, Some(dispatch)) => {
+                    host.complete_provisionally(id, dispatch, sender)
+                }
+                (true, ..) => host.ledger.complete(id),
+                (false, _, Some(dispatch)) => {
+                    host.ledger.record_outcome(id, dispatch, execution(*outcome, attribution))
+                }
+                (false, _, None) => {}
             }
         }
         self.round_requested.notify_one();
@@ -160,18 +160,24 @@
     }
 }
 
-impl Exchange {
+impl<F: Files> Exchange<F> {
     /// Number of packets in flight.
     pub fn packets_in_flight(&self) -> usize {
         self.inner.borrow().host.in_flight.len()
     }
 }
 
-pub(super) fn may_have_executed(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+/// Whether a dispatch with this outcome, which did not complete its packet, was executed.
+pub(super) fn execution(outcome: Outcome, attribution: Attribution) -> Execution {
+    match outcome {
+        _ if attribution == Attribution::InDoubt => Execution::Possible,
+        Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => Execution::Possible,
+        Outcome::Unsent => Execution::NotSent,
+        _ => Execution::NotExecuted,
+    }
 }
 
-impl HostState {
+impl<F: Files> HostState<F> {
     /// Removes the dispatches of this round and groups them into calls: those to one endpoint share a call,
     /// up to the batch of its kind.
     pub(super) fn take_calls(&mut self) -> Vec<Call> {
--- a/crates/sailcart-sender/src/exchange/clock.rs
+++ b/crates/sailcart-sender/src/exchange/clock.rs
@@ -1,6 +1,8 @@
 //! The sender's clock: real time on an axis that also covers the times restored from the journal.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use crate::memory::moment::{BootId, Distance, Moment, Span, Uptime, boot_id};
 
--- a/crates/sailcart-sender/src/exchange/confirmation.rs
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -9,12 +9,15 @@
 use std::time::{Duration, Instant};
 
 use sailcart::response_doubt::UnresolvedDelivery;
+use sailcart::response_matching::Attribution;
 use sailcart::{Outcome, PacketId, Sender};
+use sailcart_store::Files;
 
 use super::Inner;
-use super::calls::may_have_executed;
+use super::calls::execution;
 use super::host_state::HostState;
-use crate::memory::{DispatchState, Notice, Packet};
+use crate::memory::ledger::RecordedDispatch;
+use crate::memory::{DispatchState, Execution, Notice, Packet};
 use crate::wire::call::PacketOutcome;
 
 /// What is counted of responses that may belong to another call.
@@ -79,13 +82,20 @@
     packet: Rc<Packet>,
     /// The dispatch state during the call.
     state: DispatchState,
+    /// The dispatch that the call carried.
+    dispatch: RecordedDispatch,
     /// When the doubt ends without a further response.
     settles_at: Duration,
 }
 
-impl HostState {
+impl<F: Files> HostState<F> {
     /// Completes a packet whose delivery may have to be taken back.
-    pub(super) fn complete_provisionally(&mut self, id: PacketId, sender: &Sender) {
+    pub(super) fn complete_provisionally(
+        &mut self,
+        id: PacketId,
+        dispatch: RecordedDispatch,
+        sender: &Sender,
+    ) {
         let Some(packet) = self.ledger.packet(id).cloned() else { return };
         let (now, settle_time) = (self.clock.now(), sender.settle_time());
         let (state, settles_at) = (self.ledger.dispatch_state(id), now.saturating_add(settle_time));
@@ -100,7 +110,7 @@
             let oldest = self.unconfirmed.pop_first();
             oldest.into_iter().for_each(|(id, delivery)| self.settle_delivery(id, &delivery, sender));
         }
-        self.unconfirmed.insert(id, UnconfirmedDelivery { packet, state, settles_at });
+        self.unconfirmed.insert(id, UnconfirmedDelivery { packet, state, dispatch, settles_at });
     }
 
     /// Records a notice at its deadline for each delivery that waits for its confirmation, as an extra response was
@@ -154,7 +164,7 @@
     }
 }
 
-impl Inner {
+impl<F: Files> Inner<F> {
     /// Resolves the doubt about a delivered packet by the outcome that its call really had.
     pub(super) fn resolve_packet(&mut self, id: PacketId, (outcome, completed): PacketOutcome) {
         if !self.host.unconfirmed.contains_key(&id) {
@@ -163,23 +173,21 @@
         if completed || outcome == Outcome::Done {
             self.host.confirm_delivery(id);
         } else {
-            self.reopen(id, may_have_executed(outcome));
+            self.reopen(id, execution(outcome, Attribution::Certain));
         }
     }
 
     /// Takes back a delivery: the packet is dispatched again, or completes with a notice if it may have been
     /// executed and must not be repeated.
-    fn reopen(&mut self, id: PacketId, may_have_executed: bool) {
+    fn reopen(&mut self, id: PacketId, execution: Execution) {
         let Inner { sender, host, .. } = self;
-        let Some(UnconfirmedDelivery { packet, state, .. }) = host.unconfirmed.remove(&id) else {
+        let Some(UnconfirmedDelivery { packet, state, dispatch, .. }) = host.unconfirmed.remove(&id) else {
             return;
         };
         host.doubtful_responses.count(DoubtEvent::Corrected, &format_args!("packet {}", packet.id));
-        let possibly_executed_at =
-            state.possibly_executed_at.or(state.in_flight_since.filter(|_| may_have_executed));
-        let state = DispatchState { possibly_executed_at, in_flight_since: None, ..state };
-        let may_repeat =
-            !may_have_executed || host.category(&packet).is_some_and(|category| sender.may_repeat(category));
+        let state = dispatch.state_after(state, execution);
+        let may_repeat = execution != Execution::Possible
+            || host.category(&packet).is_some_and(|category| sender.may_repeat(category));
         if !may_repeat || host.ledger.reopen(&packet, state).is_err() {
             return host.notify_at_deadline(&packet);
         }
--- a/crates/sailcart-sender/src/exchange/host.rs
+++ b/crates/sailcart-sender/src/exchange/host.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use sailcart::{EndpointId, Host, PacketId};
+use sailcart_store::Files;
 
 use super::host_state::HostState;
 use crate::memory::Notice;
 
-impl Host for HostState {
+impl<F: Files> Host for HostState<F> {
     fn dispatch(&mut self, packet: PacketId, endpoint: EndpointId, timeout: Duration) {
         match self.dispatches.iter_mut().find(|(other, _)| *other == endpoint) {
             Some((_, dispatches)) => dispatches.push((packet, timeout)),
--- a/crates/sailcart-sender/src/exchange/host_state.rs
+++ b/crates/sailcart-sender/src/exchange/host_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sailcart::{EndpointId, PacketId};
+use sailcart_store::Files;
 use sailcart_terms::Names;
 use tokio::sync::{Notify, oneshot};
 
@@ -20,7 +21,7 @@
 use crate::memory::unacknowledged::UnacknowledgedNotices;
 
 /// The sender's host: carries out the decisions of the sender at the end of each round.
-pub(super) struct HostState {
+pub(super) struct HostState<F: Files> {
     pub(super) clock: Clock,
     /// Ids of the categories, customers and kinds that the settings name.
     pub(super) names: Names,
@@ -29,7 +30,7 @@
     /// Patience by category. Bounds the deadline of restored packets, whose wall clock times may be wrong.
     pub(super) patience_by_category: Vec<Duration>,
     pub(super) max_retry_after: Option<Duration>,
-    pub(super) ledger: Ledger,
+    pub(super) ledger: Ledger<F>,
     /// Live endpoints and the known destinations.
     pub(super) directory: Directory,
     /// A list read by this process is in force. Until then, packets for destinations that are not listed are
@@ -60,8 +61,8 @@
     pub(super) health_log: HealthLog,
 }
 
-impl HostState {
-    pub(super) fn new(settings: &sailcart::Settings, names: Names, ledger: Ledger) -> Self {
+impl<F: Files> HostState<F> {
+    pub(super) fn new(settings: &sailcart::Settings, names: Names, ledger: Ledger<F>) -> Self {
         let states =
             ledger.uncompleted_packets().into_iter().map(|packet| ledger.dispatch_state(packet.number));
         let clock =
--- a/crates/sailcart-sender/src/exchange/invariants.rs
+++ b/crates/sailcart-sender/src/exchange/invariants.rs
@@ -4,6 +4,8 @@
 
 use std::fmt::{self, Display};
 
+use crate::memory::ledger::RecordedDispatch;
+
 /// A condition that always holds within a sender. A violation is a bug in this program even if it had no
 /// visible effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +61,14 @@
 /// Permission to send the first byte of a call. Issued only by `SendPreconditions::permit`, once the call is
 /// in the journal.
 #[derive(Debug)]
-pub struct Permit(());
+pub struct Permit(RecordedDispatch);
+
+impl Permit {
+    /// The journal's record of the call.
+    pub fn dispatch(&self) -> RecordedDispatch {
+        self.0
+    }
+}
 
 /// Why a call must not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,10 +92,13 @@
 
 impl SendPreconditions {
     /// Records the call with `record` if the preconditions hold, and permits it if that succeeds.
-    pub(super) fn permit<Error>(self, record: impl FnOnce() -> Result<(), Error>) -> Result<Permit, Refusal> {
+    pub(super) fn permit<Error>(
+        self,
+        record: impl FnOnce() -> Result<RecordedDispatch, Error>,
+    ) -> Result<Permit, Refusal> {
         if !self.all_tracked || !self.allowed {
             return Err(Refusal::NotNow);
         }
-        record().map(|()| Permit(())).map_err(|_| Refusal::Unrecorded)
+        record().map(Permit).map_err(|_| Refusal::Unrecorded)
     }
 }
--- a/crates/sailcart-sender/src/exchange/lists.rs
+++ b/crates/sailcart-sender/src/exchange/lists.rs
@@ -4,6 +4,7 @@
 use std::borrow::Borrow;
 
 use sailcart::DestinationId;
+use sailcart_store::Files;
 use tokio::task::yield_now;
 
 use super::directory::{EndpointEntry, EndpointSpec};
@@ -12,7 +13,7 @@
 use super::{Exchange, Inner};
 use crate::wire::discovery::Entry;
 
-impl Exchange {
+impl<F: Files> Exchange<F> {
     /// Begins to stage a list. At most `max_endpoints` endpoints may be live once it is in force. Only one
     /// list is staged at a time: an older one that is not fully applied yet is superseded.
     pub fn stage(&self, max_endpoints: usize) -> StagedList {
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -19,7 +19,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sailcart::{PacketId, Sender};
+use sailcart::{EndpointId, PacketId, Sender};
+use sailcart_store::{Disk, Files};
 use sailcart_terms::Names;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
@@ -30,6 +31,7 @@
 use crate::endpoints::Endpoints;
 use crate::memory::Notice;
 use crate::memory::ledger::Ledger;
+use crate::outgoing::Call;
 
 /// Interval between rounds while journal changes wait to be written.
 const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -37,8 +39,8 @@
 const MAX_ROUND_INTERVAL: Duration = Duration::from_secs(3600);
 
 /// The sender, its host and the signals between the tasks that use them.
-pub struct Exchange {
-    inner: RefCell<Inner>,
+pub struct Exchange<F: Files = Disk> {
+    inner: RefCell<Inner<F>>,
     /// Signalled on every input: a round is due.
     round_requested: Notify,
     /// Signalled when a notice is pending.
@@ -49,16 +51,23 @@
     notices_acknowledged: Notify,
 }
 
-struct Inner {
+struct Inner<F: Files> {
     sender: Sender,
-    host: HostState,
+    host: HostState<F>,
     stopped: bool,
 }
 
-impl Exchange {
+/// What a round leaves to be carried out.
+pub struct Round {
+    /// Endpoints whose idle connections are to be closed, with the code for the log.
+    pub endpoints_to_close: Vec<(EndpointId, &'static str)>,
+    pub calls: Vec<Call>,
+}
+
+impl<F: Files> Exchange<F> {
     /// Creates the sender and its host with the state that the journal restored. `seed` drives the sender's
     /// random draws.
-    pub fn new(settings: sailcart::Settings, seed: u64, names: Names, ledger: Ledger) -> Self {
+    pub fn new(settings: sailcart::Settings, seed: u64, names: Names, ledger: Ledger<F>) -> Self {
         let host = HostState::new(&settings, names, ledger);
         let inner = Inner { sender: Sender::new(settings, seed), host, stopped: false };
         let (round_requested, notices_acknowledged) = (Notify::new(), Notify::new());
@@ -136,32 +145,13 @@
         }
     }
 
-    /// Runs a round after each input and at each time that the sender requested, but at most one per
-    /// `min_interval`.
-    pub async fn run_rounds(self: Rc<Self>, min_interval: Duration, endpoints: Rc<Endpoints>) {
-        loop {
-            let (scheduled, recorded) = {
-                let host = &self.inner.borrow().host;
-                let due = [host.scheduled_rounds.next(), host.next_settlement()];
-                (due.into_iter().flatten().min(), host.ledger.is_recorded())
-            };
-            let latest = Instant::now() + if recorded { MAX_ROUND_INTERVAL } else { WRITE_RETRY_INTERVAL };
-            tokio::select! {
-                () = self.round_requested.notified() => {}
-                () = sleep_until(scheduled.map_or(latest, |scheduled| scheduled.min(latest)).into()) => {}
-            }
-            let start = Instant::now();
-            self.run_round(&endpoints);
-            sleep_until((start + min_interval).into()).await;
-        }
-    }
-
     /// Logs what was counted of responses that may belong to another call.
     pub fn log_doubtful_responses(&self) {
         log::info!("{}", self.inner.borrow().host.doubtful_responses);
     }
 
-    fn run_round(self: &Rc<Self>, endpoints: &Rc<Endpoints>) {
+    /// Runs one round of decisions, records it and replies to the clients. Its calls are returned.
+    pub fn decide(&self) -> Round {
         let Inner { sender, host, stopped } = &mut *self.inner.borrow_mut();
         host.scheduled_rounds.remove_due(Instant::now());
         host.settle_deliveries(sender);
@@ -174,14 +164,42 @@
             // Replies promise durability, so they wait for the first round whose commit succeeds.
             Err(error) => log::debug!("journal: code=not_committed {error}"),
         }
-        for (endpoint, code) in std::mem::take(&mut host.endpoints_to_close) {
-            endpoints.close(endpoint, code);
-        }
-        for call in host.take_calls() {
-            tokio::task::spawn_local(endpoints.clone().execute(call, self.clone()));
-        }
+        let endpoints_to_close = std::mem::take(&mut host.endpoints_to_close);
+        let round = Round { endpoints_to_close, calls: host.take_calls() };
         if host.ledger.pending_notices().next().is_some() {
             self.notice_queued.notify_one();
         }
+        round
+    }
+
+    /// When the next round is due without further input.
+    fn next_round(&self) -> Instant {
+        let host = &self.inner.borrow().host;
+        let interval = if host.ledger.is_recorded() { MAX_ROUND_INTERVAL } else { WRITE_RETRY_INTERVAL };
+        let due = [host.scheduled_rounds.next(), host.next_settlement(), Some(Instant::now() + interval)];
+        due.into_iter().flatten().min().unwrap_or_else(Instant::now)
+    }
+}
+
+impl<F: Files + 'static> Exchange<F> {
+    /// Runs a round after each input and at each time that the sender requested, but at most one per
+    /// `min_interval`.
+    pub async fn run_rounds(self: Rc<Self>, min_interval: Duration, endpoints: Rc<Endpoints>) {
+        loop {
+            let next_round = self.next_round();
+            tokio::select! {
+                () = self.round_requested.notified() => {}
+                () = sleep_until(next_round.into()) => {}
+            }
+            let start = Instant::now();
+            let Round { endpoints_to_close, calls } = self.decide();
+            for (endpoint, code) in endpoints_to_close {
+                endpoints.close(endpoint, code);
+            }
+            for call in calls {
+                tokio::task::spawn_local(endpoints.clone().execute(call, self.clone()));
+            }
+            sleep_until((start + min_interval).into()).await;
+        }
     }
 }
--- a/crates/sailcart-sender/src/exchange/packets.rs
+++ b/crates/sailcart-sender/src/exchange/packets.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sailcart::{CategoryId, CustomerId, DestinationId, KeyId, PacketId};
+use sailcart_store::Files;
 use tokio::sync::oneshot;
 
 use super::host_state::HostState;
@@ -49,7 +50,7 @@
     KeyId(hasher.finish())
 }
 
-impl Exchange {
+impl<F: Files> Exchange<F> {
     /// Packets that are not completed, in the order in which they were accepted.
     pub fn uncompleted_packets(&self) -> Vec<Rc<Packet>> {
         self.inner.borrow().host.ledger.uncompleted_packets()
@@ -97,7 +98,7 @@
     }
 }
 
-impl Inner {
+impl<F: Files> Inner<F> {
     /// Returns the number of the packet whose reply the client waits for, or the reply if it is known at
     /// once.
     fn accept(&mut self, put: &Put) -> Result<PacketId, SubmitReply> {
@@ -140,7 +141,7 @@
     }
 }
 
-impl HostState {
+impl<F: Files> HostState<F> {
     /// Copies a submitted packet out of the connection's buffer, and numbers it.
     fn to_packet(&self, put: &Put, now: Duration) -> Packet {
         Packet {
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -10,13 +10,13 @@
 use std::rc::Rc;
 
 use sailcart::PacketId;
-use sailcart_store::{Change, Disk, Store, StoreError, StoreOptions, SyncPolicy};
+use sailcart_store::{Change, Disk, Files, Store, StoreError, StoreOptions, SyncPolicy};
 
 use super::backlog::{Backlog, ChangeGroup, OwnedChange};
 use super::format1;
 use super::moment::Moment;
 use super::records::{self, Record, RecordKind, key};
-use super::{DispatchState, Notice, Packet};
+use super::{DispatchState, Execution, Notice, Packet};
 
 struct HeldPacket {
     packet: Rc<Packet>,
@@ -60,8 +60,8 @@
 const COMPLETED_ID_BYTES: u64 = 96;
 
 /// Accepted packets, pending notices and completed ids, in memory and in the journal.
-pub struct Ledger {
-    store: Store<Disk>,
+pub struct Ledger<F: Files = Disk> {
+    store: Store<F>,
     held: BTreeMap<PacketId, HeldPacket>,
     pending_notices: BTreeMap<PacketId, PendingNotice>,
     numbers_by_id: HashMap<Box<str>, PacketId>,
@@ -80,6 +80,19 @@
     no_space_logged: bool,
 }
 
+/// A dispatch of this process whose record is in the journal. Only such a dispatch has an outcome to record.
+#[derive(Clone, Copy, Debug)]
+pub struct RecordedDispatch {
+    sent_at: Moment,
+}
+
+impl RecordedDispatch {
+    /// The state of its packet once it has completed, from the state while it was in flight.
+    pub fn state_after(self, in_flight: DispatchState, execution: Execution) -> DispatchState {
+        in_flight.after_outcome(self.sent_at, execution)
+    }
+}
+
 impl Ledger {
     /// Opens the journal in `folder`, migrates a journal of format 1, and restores what they contain.
     ///
@@ -95,13 +108,30 @@
         max_completed: usize,
         sync: SyncPolicy,
     ) -> io::Result<Self> {
-        let opened = Store::open(Disk::new(folder), StoreOptions { capacity_bytes, sync });
-        let (store, recovered) = opened.map_err(|error| match error {
-            StoreError::InUse => {
+        let options = StoreOptions { capacity_bytes, sync };
+        let mut ledger = Ledger::restore(Disk::new(folder), options, max_completed).map_err(|error| {
+            if error.kind() == io::ErrorKind::WouldBlock {
                 let message = format!("{} is in use by another sender", folder.display());
-                io::Error::new(io::ErrorKind::WouldBlock, message)
+                return io::Error::new(io::ErrorKind::WouldBlock, message);
             }
-            other => other.into(),
+            error
+        })?;
+        ledger.migrate_format1(folder)?;
+        Ok(ledger)
+    }
+}
+
+impl<F: Files> Ledger<F> {
+    /// Opens the journal in a folder's `files` and restores what it contains.
+    ///
+    /// # Errors
+    /// The errors of [`Store::open`], as [`io::ErrorKind::WouldBlock`] if another process has the folder open; a
+    /// record of an unknown kind.
+    pub fn restore(files: F, options: StoreOptions, max_completed: usize) -> io::Result<Self> {
+        let opened = Store::open(files, options);
+        let (store, recovered) = opened.map_err(|error| match error {
+            StoreError::InUse => io::ErrorKind::WouldBlock.into(),
+            other => io::Error::from(other),
         })?;
         if recovered.torn_bytes > 0 {
             log::warn!(
@@ -110,8 +140,8 @@
                 recovered.frames
             );
         }
-        let max_stored_completed = max_completed
-            .min((capacity_bytes / COMPLETED_IDS_CAPACITY_DIVISOR / COMPLETED_ID_BYTES) as usize);
+        let completed_ids_capacity = options.capacity_bytes / COMPLETED_IDS_CAPACITY_DIVISOR;
+        let max_stored_completed = max_completed.min((completed_ids_capacity / COMPLETED_ID_BYTES) as usize);
         let mut ledger = Ledger {
             store,
             held: BTreeMap::new(),
@@ -127,7 +157,6 @@
             no_space_logged: false,
         };
         ledger.load_records()?;
-        ledger.migrate_format1(folder)?;
         Ok(ledger)
     }
 
@@ -210,7 +239,7 @@
             in_flight_since: Some(moment),
             dispatches: 0,
         };
-        let live_size = |kind, value: &[u8]| Store::<Disk>::live_size(&key(kind, packet.number), value);
+        let live_size = |kind, value: &[u8]| Store::<F>::live_size(&key(kind, packet.number), value);
         live_size(RecordKind::DispatchState, &records::encode_dispatch_state(&state))
             + live_size(RecordKind::PendingNotice, &records::encode_pending_notice(&packet.id, &notice))
             + live_size(RecordKind::Completed, &records::encode_completed(&packet.id, Some(&notice)))
@@ -259,7 +288,7 @@
     /// the error of the write. The packet is not accepted then.
     pub fn accept(&mut self, packet: Packet) -> io::Result<()> {
         let (key, value) = (key(RecordKind::Packet, packet.number), records::encode_packet(&packet));
-        let required = Store::<Disk>::live_size(&key, &value) + Self::reservation(&packet);
+        let required = Store::<F>::live_size(&key, &value) + Self::reservation(&packet);
         if !self.fits(required) {
             if !std::mem::replace(&mut self.no_space_logged, true) {
                 log::warn!(
@@ -286,23 +315,12 @@
     /// # Errors
     /// The record could not be written or, where records have to survive a power loss, could not be synced.
     /// The call must not be sent then.
-    pub fn record_dispatch(&mut self, numbers: &[PacketId], at: Moment) -> io::Result<()> {
+    pub fn record_dispatch(&mut self, numbers: &[PacketId], at: Moment) -> io::Result<RecordedDispatch> {
         let held: Vec<PacketId> =
             numbers.iter().copied().filter(|number| self.held.contains_key(number)).collect();
         let old_states: Vec<_> = held.iter().map(|number| (*number, self.dispatch_state(*number))).collect();
-        let new_states = old_states.iter().map(|(number, old)| {
-            // A dispatch that is still in flight was sent by a previous process: its outcome stays unknown.
-            let possibly_executed_at = old.possibly_executed_at.or(old.in_flight_since);
-            (
-                *number,
-                DispatchState {
-                    dispatches: old.dispatches + 1,
-                    possibly_executed_at,
-                    in_flight_since: Some(at),
-                },
-            )
-        });
-        let new_states: Vec<_> = new_states.collect();
+        let new_states: Vec<_> =
+            old_states.iter().map(|(number, old)| (*number, old.after_dispatch(at))).collect();
         let records = new_states.iter().map(|(number, state)| {
             (key(RecordKind::DispatchState, *number), records::encode_dispatch_state(state))
         });
@@ -317,15 +335,13 @@
             // The record may be valid although the call is not sent: overwrite it.
             old_states.into_iter().for_each(|(number, state)| self.update_dispatch_state(number, state));
         }
-        Ok(synced?)
+        Ok(synced.map(|()| RecordedDispatch { sent_at: at })?)
     }
 
     /// Records that a dispatch completed without completing its packet.
-    pub fn record_outcome(&mut self, number: PacketId, may_have_executed: bool) {
+    pub fn record_outcome(&mut self, number: PacketId, dispatch: RecordedDispatch, execution: Execution) {
         let old = self.dispatch_state(number);
-        let possibly_executed_at =
-            old.possibly_executed_at.or(old.in_flight_since.filter(|_| may_have_executed));
-        let state = DispatchState { dispatches: old.dispatches, possibly_executed_at, in_flight_since: None };
+        let state = dispatch.state_after(old, execution);
         if state != old {
             self.update_dispatch_state(number, state);
         }
@@ -481,7 +497,7 @@
         let number = packet.number;
         let (value, state_value) = (records::encode_packet(packet), records::encode_dispatch_state(&state));
         let packet_key = key(RecordKind::Packet, number);
-        if !self.fits(Store::<Disk>::live_size(&packet_key, &value) + Self::reservation(packet)) {
+        if !self.fits(Store::<F>::live_size(&packet_key, &value) + Self::reservation(packet)) {
             return Err(io::ErrorKind::StorageFull.into());
         }
         let changes = [
--- a/crates/sailcart-sender/src/memory/mod.rs
+++ b/crates/sailcart-sender/src/memory/mod.rs
@@ -46,6 +46,39 @@
     pub in_flight_since: Option<Moment>,
 }
 
+/// Whether a dispatch that has completed was executed by its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Execution {
+    /// Not one byte of its call was sent.
+    NotSent,
+    /// The endpoint has not executed it and never will.
+    NotExecuted,
+    /// It was executed, may have been, or may still be.
+    Possible,
+}
+
+impl DispatchState {
+    /// The state once a dispatch sent at `sent_at` is in flight. One that was in flight before was sent by a
+    /// previous process: its outcome stays unknown.
+    pub fn after_dispatch(self, sent_at: Moment) -> DispatchState {
+        DispatchState {
+            dispatches: self.dispatches + 1,
+            possibly_executed_at: self.possibly_executed_at.or(self.in_flight_since),
+            in_flight_since: Some(sent_at),
+        }
+    }
+
+    /// The state once the dispatch in flight, sent at `sent_at`, has completed.
+    pub fn after_outcome(self, sent_at: Moment, execution: Execution) -> DispatchState {
+        let possibly_executed = (execution == Execution::Possible).then_some(sent_at);
+        DispatchState {
+            dispatches: self.dispatches.saturating_sub(u32::from(execution == Execution::NotSent)),
+            possibly_executed_at: self.possibly_executed_at.or(possibly_executed),
+            in_flight_since: None,
+        }
+    }
+}
+
 /// Notifies the platform of a packet that completed without being delivered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Notice {
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -12,6 +12,7 @@
 
 use crate::exchange::invariants::{Permit, Refusal};
 use crate::memory::Packet;
+use crate::memory::ledger::RecordedDispatch;
 use crate::response::Response;
 use crate::wire::call::{self, PacketOutcome};
 use crate::wire::http::Head;
@@ -38,6 +39,26 @@
     }
 }
 
+/// What came of a call.
+pub struct CallResult {
+    /// The outcome of each of its packets.
+    pub outcomes: Vec<PacketOutcome>,
+    /// The head of the response, which may report a limit.
+    pub head: Option<Head>,
+    /// Whether the response is known to belong to the call.
+    pub attribution: Attribution,
+    /// The journal's record of the call; `None` if it was never permitted to be sent.
+    pub dispatch: Option<RecordedDispatch>,
+}
+
+impl CallResult {
+    /// A call of which no byte was sent: all its packets have the same outcome.
+    pub fn not_sent(call: &Call, outcome: Outcome, dispatch: Option<RecordedDispatch>) -> CallResult {
+        let outcomes = vec![(outcome, false); call.packets.len()];
+        CallResult { outcomes, head: None, attribution: Attribution::First, dispatch }
+    }
+}
+
 /// A call that was sent: what is needed to read a later response as its response.
 #[derive(Debug, PartialEq)]
 pub struct SentCall {
@@ -122,15 +143,8 @@
     /// Whether an endpoint is still listed and live.
     fn is_listed(&self, endpoint: EndpointId) -> bool;
 
-    /// Receives the outcome of each of the call's packets, the head of the response, which may report a
-    /// limit, and whether the response is known to belong to this call.
-    fn call_completed(
-        &self,
-        call: &Call,
-        outcomes: &[PacketOutcome],
-        head: Option<&Head>,
-        attribution: Attribution,
-    );
+    /// Receives what came of a call.
+    fn call_completed(&self, call: &Call, result: CallResult);
 
     /// Receives the wait that a response requests whose outcome is not known yet.
     fn wait_requested(&self, endpoint: EndpointId, wait: Duration);
--- a/crates/sailcart-sender/tests/journal.rs
+++ b/crates/sailcart-sender/tests/journal.rs
@@ -8,7 +8,7 @@
 use sailcart::{DestinationId, PacketId};
 use sailcart_sender::memory::ledger::Ledger;
 use sailcart_sender::memory::moment::Moment;
-use sailcart_sender::memory::{DispatchState, Notice, Packet};
+use sailcart_sender::memory::{DispatchState, Execution, Notice, Packet};
 use sailcart_store::SyncPolicy;
 
 const CAPACITY_BYTES: u64 = 64 * 1024;
@@ -58,12 +58,11 @@
     let mut ledger = open(&folder);
     let [a, b, c, d, e] = ["a", "b", "c", "d", "e"].map(|id| accept(&mut ledger, id));
     let at = |ms| Moment::by_wall_clock(Duration::from_millis(ms));
-    for id in [a, b, c] {
-        ledger.record_dispatch(&[id], at(5)).expect("the journal has capacity");
-    }
-    ledger.record_outcome(b, true);
+    let [_, first_of_b, first_of_c] =
+        [a, b, c].map(|id| ledger.record_dispatch(&[id], at(5)).expect("the journal has capacity"));
+    ledger.record_outcome(b, first_of_b, Execution::Possible);
     ledger.record_dispatch(&[b], at(9)).expect("the journal has capacity");
-    ledger.record_outcome(c, false);
+    ledger.record_outcome(c, first_of_c, Execution::NotExecuted);
     ledger.complete(d);
     ledger.complete_with_notice(e, Notice::Dismissed(Some(Duration::from_millis(500))));
     let before = ledger.packet(a).expect("the packet is stored").clone();
@@ -105,10 +104,10 @@
         .expect("the journal has capacity");
     drop(ledger);
     let mut ledger = open(&folder);
-    ledger
+    let second = ledger
         .record_dispatch(&[id], Moment::by_wall_clock(Duration::from_secs(9)))
         .expect("the journal has capacity");
-    ledger.record_outcome(id, false);
+    ledger.record_outcome(id, second, Execution::NotExecuted);
     drop(ledger);
     let possibly_executed_at = Some(Moment::by_wall_clock(Duration::from_secs(5)));
     assert_eq!(
--- a/crates/sailcart-terms/src/lib.rs
+++ b/crates/sailcart-terms/src/lib.rs
@@ -14,6 +14,7 @@
 pub use value::{ValueError, member, read_milliseconds, read_number, read_text};
 
 /// Maps the names used on the wire to positions in [`Settings`].
+#[derive(Clone)]
 pub struct Names {
     pub categories: HashMap<String, usize>,
     pub customers: HashMap<String, usize>,
@@ -23,6 +24,7 @@
 }
 
 /// The position and name of the fields of a load report that contain an upstream's limit.
+#[derive(Clone)]
 pub struct ReportFields {
     /// The share of the limit that is unused.
     pub unused_share: (usize, String),
