A delivery in doubt stands as a notice at its deadline until later deliveries confirm it

Cause: a delivery whose response may be a copy was written down as completed, and only a certain refutation within the settle time took that back, unless doubt was suspicious; the first copy of a process comes before that.

Two further deliveries on its connection, or a certain match, withdraw it. Doubt no longer ends by time, a refusal in doubt always may have run, and what may not be repeated goes where its refusal cannot be a copy.

Tests: tests/response_exploration.rs explores all interleavings of three and four calls with two copies; three new tests in extra_responses.rs are red before and green now, as is the one that bounds the notices of delivered packets to the last two of a connection. Three tests on calm kills had endpoints with equal responses and asked for what no observer can tell; their endpoints number their responses now, their assertions stand.

--- a/crates/sailcart-sender/src/endpoints/mod.rs
+++ b/crates/sailcart-sender/src/endpoints/mod.rs
@@ -119,6 +119,7 @@
         }
         let sent = send(call, &mut connection, permit, owner).await;
         self.dispose(call, connection, &sent, owner);
+        owner.confirm(&sent.confirmed);
         CallResult { outcomes: sent.outcomes, head: sent.head, attribution: sent.attribution, dispatch }
     }
 
@@ -141,7 +142,7 @@
             }
             Ending::Reusable
                 if !connection.buffer.is_empty()
-                    || (connection.matcher.has_doubt() && owner.must_settle_before_reuse()) =>
+                    || (connection.matcher.awaits_response() && owner.must_settle_before_reuse()) =>
             {
                 self.settle(call.endpoint, connection, owner);
             }
--- a/crates/sailcart-sender/src/endpoints/send.rs
+++ b/crates/sailcart-sender/src/endpoints/send.rs
@@ -40,13 +40,14 @@
     pub(super) head: Option<Head>,
     pub(super) attribution: Attribution,
     pub(super) ending: Ending,
+    /// Earlier calls on the connection whose deliveries the response confirms.
+    pub(super) confirmed: Vec<Rc<SentCall>>,
 }
 
 impl SentResult {
     /// Whether the response is in doubt, reports anything but the completion of all packets, and the response
     /// that it may have displaced can still arrive.
     pub(super) fn is_undecided(&self) -> bool {
-        let is_completion = |(outcome, completed): &PacketOutcome| *completed || *outcome == Outcome::Done;
         self.attribution == Attribution::InDoubt
             && self.ending == Ending::Reusable
             && !self.outcomes.iter().all(is_completion)
@@ -102,7 +103,8 @@
         };
         same_for_all(call, outcome)
     });
-    let sent = SentResult { outcomes, head, attribution, ending };
+    let confirmed = record_delivery(connection, &sent_call, &outcomes, attribution);
+    let sent = SentResult { outcomes, head, attribution, ending, confirmed };
     if !sent.is_undecided() || !owner.must_settle_before_reuse() {
         return sent;
     }
@@ -113,12 +115,37 @@
             head: None,
             attribution: Attribution::First,
             ending: Ending::Close("called_off"),
+            confirmed: Vec::new(),
         },
     }
 }
 
+/// Records on the connection whether a call's packet was delivered. Returns the earlier calls whose deliveries
+/// this confirms. A response to several packets confirms nothing: it names them.
+fn record_delivery(
+    connection: &mut EndpointConnection,
+    call: &Rc<SentCall>,
+    outcomes: &[PacketOutcome],
+    attribution: Attribution,
+) -> Vec<Rc<SentCall>> {
+    match outcomes {
+        [outcome] if is_completion(outcome) => {
+            connection.matcher.delivery_reported(call.clone(), attribution)
+        }
+        _ => {
+            connection.matcher.refusal_reported();
+            Vec::new()
+        }
+    }
+}
+
+/// Whether a packet needs no further dispatch.
+fn is_completion((outcome, completed): &PacketOutcome) -> bool {
+    *completed || *outcome == Outcome::Done
+}
+
 /// Waits for the response that a copy of an earlier one may have displaced. If nothing more is received within
-/// the settle time, the first response stands.
+/// the settle time, the call stays in doubt.
 async fn await_displaced_response(
     call: &Call,
     connection: &mut EndpointConnection,
@@ -134,12 +161,10 @@
     loop {
         let mut response = Response::default();
         match timeout_at(settled_at.into(), connection.read_response(&mut response)).await {
-            Err(_) if response.first_byte_at.is_none() => {
-                connection.matcher.settle(connection.age(), Duration::ZERO);
+            Err(_) => {
                 let outcomes = remaining_waits(&sent.outcomes, received_at.elapsed());
-                return SentResult { outcomes, attribution: Attribution::First, ..sent };
+                return SentResult { outcomes, ending: Ending::Close("in_doubt"), ..sent };
             }
-            Err(_) => return SentResult { ending: Ending::Close("in_doubt"), ..sent },
             Ok(Err(error)) => return SentResult { ending: Ending::Close(log_code(&error)), ..sent },
             Ok(Ok(())) => {}
         }
@@ -154,7 +179,7 @@
         owner.resolve(calls);
         if let Some(outcomes) = resolved {
             let ending = if leaves_open { Ending::Reusable } else { Ending::Close("answer_closes") };
-            return SentResult { outcomes, head, attribution: Attribution::Certain, ending };
+            return SentResult { outcomes, head, attribution: Attribution::Certain, ending, ..sent };
         }
     }
 }
--- a/crates/sailcart-sender/src/endpoints/settle.rs
+++ b/crates/sailcart-sender/src/endpoints/settle.rs
@@ -45,6 +45,10 @@
         return None;
     }
     connection.matcher.settle(connection.age(), Duration::ZERO);
+    if connection.matcher.has_doubt() && owner.closes_settled_in_doubt() {
+        connection.log_end("in_doubt");
+        return None;
+    }
     connection.socket.clear_read_readiness();
     Some(connection)
 }
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -18,7 +18,7 @@
 use super::packets::key_id;
 use super::{Exchange, Inner};
 use crate::memory::{Execution, Notice, Packet};
-use crate::outgoing::{Call, CallOwner, CallResult, CallsInDoubt};
+use crate::outgoing::{Call, CallOwner, CallResult, CallsInDoubt, SentCall};
 use crate::wire::call;
 use crate::wire::http::Head;
 
@@ -88,6 +88,10 @@
         sender.must_settle_before_reuse(host.clock.now())
     }
 
+    fn closes_settled_in_doubt(&self) -> bool {
+        self.inner.borrow().sender.closes_settled_in_doubt()
+    }
+
     fn call_completed(&self, call: &Call, result: CallResult) {
         let CallResult { outcomes, head, attribution, dispatch } = result;
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
@@ -121,7 +125,8 @@
             }
             match (is_completed, attribution, dispatch) {
                 (true, Attribution::InDoubt, Some(dispatch)) => {
-                    host.complete_provisionally(id, dispatch, sender)
+                    host.complete_provisionally(id, dispatch, sender);
+                    self.notice_queued.notify_one();
                 }
                 (true, ..) => host.ledger.complete(id),
                 (false, _, Some(dispatch)) => {
@@ -142,7 +147,15 @@
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
         sender.record_extra_response(host.clock.now(), endpoint, head.and_then(|head| head.retry_after));
         host.doubtful_responses.count(DoubtEvent::Extra, &format_args!("endpoint {}", endpoint.0));
-        host.protect_unconfirmed_deliveries();
+    }
+
+    fn confirm(&self, calls: &[Rc<SentCall>]) {
+        let ids: Vec<PacketId> =
+            calls.iter().flat_map(|call| call.packets.iter().map(|(id, _)| *id)).collect();
+        if !ids.is_empty() {
+            self.inner.borrow_mut().host.confirm_deliveries(&ids);
+            self.notices_acknowledged.notify_waiters();
+        }
     }
 
     fn resolve(&self, calls: CallsInDoubt) {
--- a/crates/sailcart-sender/src/exchange/confirmation.rs
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -1,14 +1,13 @@
 //! Deliveries that wait for their confirmation: the response that reported them may belong to another call.
 //!
-//! Such a packet is completed at once, in the journal too. It is kept in memory for the settle time, so that it
-//! can be dispatched again if a later response shows that it was not delivered. Where such responses are
-//! expected, it is recorded with a notice at its deadline instead, which a confirmation withdraws.
+//! Such a packet is completed at once, in the journal with a notice at its deadline, which a confirmation
+//! withdraws. The packet is kept in memory for the settle time, so that it can be dispatched again if a later
+//! response shows that it was not delivered.
 
 use std::fmt::{self, Display};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use sailcart::response_doubt::UnresolvedDelivery;
 use sailcart::response_matching::Attribution;
 use sailcart::{Outcome, PacketId, Sender};
 use sailcart_store::Files;
@@ -29,7 +28,7 @@
     InDoubt,
     /// A packet that completed provisionally and was not delivered.
     Corrected,
-    /// A packet that may have been delivered and completes with a notice, as its doubt was never resolved.
+    /// A packet that may have been delivered and for which a notice was sent, as its doubt was never resolved.
     Unresolved,
 }
 
@@ -73,7 +72,7 @@
     }
 }
 
-/// Number of deliveries that can be taken back at most; the oldest are settled first.
+/// Number of deliveries that can be taken back at most; the oldest are forgotten first.
 const MAX_UNCONFIRMED_DELIVERIES: usize = 256;
 
 /// A delivery whose response is in doubt.
@@ -84,12 +83,12 @@
     state: DispatchState,
     /// The dispatch that the call carried.
     dispatch: RecordedDispatch,
-    /// When the doubt ends without a further response.
+    /// Until when the packet is kept.
     settles_at: Duration,
 }
 
 impl<F: Files> HostState<F> {
-    /// Completes a packet whose delivery may have to be taken back.
+    /// Completes a packet whose delivery is in doubt: unless it is confirmed, its notice is sent at its deadline.
     pub(super) fn complete_provisionally(
         &mut self,
         id: PacketId,
@@ -97,35 +96,16 @@
         sender: &Sender,
     ) {
         let Some(packet) = self.ledger.packet(id).cloned() else { return };
-        let (now, settle_time) = (self.clock.now(), sender.settle_time());
-        let (state, settles_at) = (self.ledger.dispatch_state(id), now.saturating_add(settle_time));
-        match sender.unresolved_delivery(now) {
-            UnresolvedDelivery::Completed => self.ledger.complete(id),
-            UnresolvedDelivery::NotifiedAtDeadline => {
-                self.ledger.complete_with_notice_at_deadline(id, Notice::Scrapped);
-                self.hold_back_later_packets(&packet);
-            }
-        }
+        let settles_at = self.clock.now().saturating_add(sender.settle_time());
+        let state = self.ledger.dispatch_state(id);
+        self.ledger.complete_with_notice_at_deadline(id, Notice::Scrapped);
+        self.hold_back_later_packets(&packet);
         if self.unconfirmed.len() >= MAX_UNCONFIRMED_DELIVERIES {
-            let oldest = self.unconfirmed.pop_first();
-            oldest.into_iter().for_each(|(id, delivery)| self.settle_delivery(id, &delivery, sender));
+            self.unconfirmed.pop_first();
         }
         self.unconfirmed.insert(id, UnconfirmedDelivery { packet, state, dispatch, settles_at });
     }
 
-    /// Records a notice at its deadline for each delivery that waits for its confirmation, as an extra response was
-    /// seen: it may have been one of these that a copy displaced.
-    pub(super) fn protect_unconfirmed_deliveries(&mut self) {
-        let packets: Vec<Rc<Packet>> =
-            self.unconfirmed.values().map(|delivery| delivery.packet.clone()).collect();
-        packets.iter().for_each(|packet| self.notify_at_deadline(packet));
-    }
-
-    fn notify_at_deadline(&mut self, packet: &Packet) {
-        self.ledger.replace_completion_with_notice(packet, Notice::Scrapped);
-        self.hold_back_later_packets(packet);
-    }
-
     /// Holds back later packets of the same key: this one has not completed for the platform.
     fn hold_back_later_packets(&mut self, packet: &Packet) {
         if let Some(key) = self.order_key(packet) {
@@ -133,34 +113,17 @@
         }
     }
 
-    /// When the next delivery settles. Kept apart from the rounds that the sender schedules, as these drop one
-    /// another.
-    pub(super) fn next_settlement(&self) -> Option<Instant> {
-        let next = self.unconfirmed.values().map(|delivery| delivery.settles_at).min()?;
-        Instant::now().checked_add(next.saturating_sub(self.clock.now()))
-    }
-
-    /// Ends the doubt about the deliveries whose settle time is over.
-    pub(super) fn settle_deliveries(&mut self, sender: &Sender) {
+    /// Forgets the packets of the deliveries whose settle time is over: they are not dispatched again.
+    pub(super) fn settle_deliveries(&mut self) {
         let now = self.clock.now();
-        let due = self.unconfirmed.extract_if(.., |_, delivery| delivery.settles_at <= now);
-        for (id, delivery) in due.collect::<Vec<_>>() {
-            self.settle_delivery(id, &delivery, sender);
-        }
-    }
-
-    fn settle_delivery(&mut self, id: PacketId, delivery: &UnconfirmedDelivery, sender: &Sender) {
-        if sender.unresolved_delivery(self.clock.now()) == UnresolvedDelivery::NotifiedAtDeadline {
-            self.doubtful_responses.count(DoubtEvent::Unresolved, &format_args!("packet {}", id.0));
-            self.notify_at_deadline(&delivery.packet);
-        }
+        self.unconfirmed.retain(|_, delivery| delivery.settles_at > now);
     }
 
-    /// Keeps a delivery that was confirmed.
-    fn confirm_delivery(&mut self, id: PacketId) {
-        self.unconfirmed.remove(&id);
-        self.ledger.acknowledge_notices(&[id]);
-        self.unacknowledged.remove(&[id]);
+    /// Withdraws the notices of deliveries that were confirmed.
+    pub(super) fn confirm_deliveries(&mut self, ids: &[PacketId]) {
+        self.unconfirmed.retain(|id, _| !ids.contains(id));
+        self.ledger.withdraw_notices_at_deadline(ids);
+        self.unacknowledged.remove(ids);
     }
 }
 
@@ -171,14 +134,14 @@
             return;
         }
         if completed || outcome == Outcome::Done {
-            self.host.confirm_delivery(id);
+            self.host.confirm_deliveries(&[id]);
         } else {
             self.reopen(id, execution(outcome, Attribution::Certain));
         }
     }
 
-    /// Takes back a delivery: the packet is dispatched again, or completes with a notice if it may have been
-    /// executed and must not be repeated.
+    /// Takes back a delivery: the packet is dispatched again. Its notice stays if it may have been executed and
+    /// must not be repeated.
     fn reopen(&mut self, id: PacketId, execution: Execution) {
         let Inner { sender, host, .. } = self;
         let Some(UnconfirmedDelivery { packet, state, dispatch, .. }) = host.unconfirmed.remove(&id) else {
@@ -189,7 +152,7 @@
         let may_repeat = execution != Execution::Possible
             || host.category(&packet).is_some_and(|category| sender.may_repeat(category));
         if !may_repeat || host.ledger.reopen(&packet, state).is_err() {
-            return host.notify_at_deadline(&packet);
+            return;
         }
         host.unacknowledged.remove(&[id]);
         match host.sender_packet(&packet) {
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
+use self::confirmation::DoubtEvent;
 use self::host_state::HostState;
 pub use self::packets::SubmitReply;
 pub use self::staged::{ListTooLarge, StagedList};
@@ -120,7 +121,9 @@
     pub fn acknowledge_notices(&self, ids: &[PacketId]) {
         log::debug!("notices: told {:?}", ids.iter().map(|id| id.0).collect::<Vec<_>>());
         let host = &mut self.inner.borrow_mut().host;
-        host.ledger.acknowledge_notices(ids);
+        for id in host.ledger.acknowledge_notices(ids) {
+            host.doubtful_responses.count(DoubtEvent::Unresolved, &format_args!("packet {}", id.0));
+        }
         host.unacknowledged.remove(ids);
         self.notices_acknowledged.notify_waiters();
     }
@@ -154,7 +157,7 @@
     pub fn decide(&self) -> Round {
         let Inner { sender, host, stopped } = &mut *self.inner.borrow_mut();
         host.scheduled_rounds.remove_due(Instant::now());
-        host.settle_deliveries(sender);
+        host.settle_deliveries();
         if !*stopped || !host.waiting_clients.is_empty() {
             sender.decide(host.clock.now(), host);
         }
@@ -166,7 +169,7 @@
         }
         let endpoints_to_close = std::mem::take(&mut host.endpoints_to_close);
         let round = Round { endpoints_to_close, calls: host.take_calls() };
-        if host.ledger.pending_notices().next().is_some() {
+        if host.ledger.has_notice_to_send() {
             self.notice_queued.notify_one();
         }
         round
@@ -176,8 +179,8 @@
     fn next_round(&self) -> Instant {
         let host = &self.inner.borrow().host;
         let interval = if host.ledger.is_recorded() { MAX_ROUND_INTERVAL } else { WRITE_RETRY_INTERVAL };
-        let due = [host.scheduled_rounds.next(), host.next_settlement(), Some(Instant::now() + interval)];
-        due.into_iter().flatten().min().unwrap_or_else(Instant::now)
+        let latest = Instant::now() + interval;
+        host.scheduled_rounds.next().map_or(latest, |scheduled| scheduled.min(latest))
     }
 }
 
--- a/crates/sailcart-sender/src/memory/ledger.rs
+++ b/crates/sailcart-sender/src/memory/ledger.rs
@@ -471,25 +471,8 @@
         self.pending_notices.values().filter(is_due).count()
     }
 
-    /// Replaces the completion of a packet by a notice at its deadline, which is recorded as pending: it may
-    /// not have been delivered. Does nothing if such a notice is pending already.
-    pub fn replace_completion_with_notice(&mut self, packet: &Packet, notice: Notice) {
-        if self.pending_notices.contains_key(&packet.number) {
-            return;
-        }
-        let pending = records::encode_pending_notice(&packet.id, &notice);
-        let changes = vec![
-            OwnedChange::Delete(key(RecordKind::Completed, packet.number)),
-            OwnedChange::Put(key(RecordKind::PendingNotice, packet.number), pending),
-        ];
-        let (id, deadline) = (packet.id.clone(), Some(packet.deadline));
-        self.pending_notices
-            .insert(packet.number, PendingNotice { id, notice, deadline, waits_for_deadline: true });
-        self.write_or_defer(ChangeGroup { packet: packet.number, changes });
-    }
-
-    /// Takes back the completion of a packet, or its notice that waits for its deadline, so that it can be
-    /// dispatched again. Both are recorded before this returns.
+    /// Takes back a packet's notice that waits for its deadline, so that it can be dispatched again. Both are
+    /// recorded before this returns.
     ///
     /// # Errors
     /// Those of [`accept`](Self::accept). The packet stays completed then.
@@ -547,13 +530,31 @@
         sendable.map(|(number, pending)| (*number, &*pending.id, pending.notice))
     }
 
-    /// Records that the platform has acknowledged the notices of these packets.
-    pub fn acknowledge_notices(&mut self, numbers: &[PacketId]) {
+    /// Records that the platform has acknowledged the notices of these packets. Returns those packets that may
+    /// have been delivered.
+    pub fn acknowledge_notices(&mut self, numbers: &[PacketId]) -> Vec<PacketId> {
+        let mut possibly_delivered = Vec::new();
         for number in numbers {
             if let Some(pending) = self.pending_notices.remove(number) {
+                possibly_delivered.extend(pending.waits_for_deadline.then_some(*number));
                 self.record_completion(*number, &pending.id);
             }
         }
+        possibly_delivered
+    }
+
+    /// Withdraws the notices of these packets that wait for the deadline: the packets were delivered.
+    pub fn withdraw_notices_at_deadline(&mut self, numbers: &[PacketId]) {
+        for number in numbers {
+            if self.pending_notices.get(number).is_some_and(|pending| pending.waits_for_deadline) {
+                self.acknowledge_notices(&[*number]);
+            }
+        }
+    }
+
+    /// Whether any pending notice does not wait for the deadline of a packet that may have been delivered.
+    pub fn has_notice_to_send(&self) -> bool {
+        self.pending_notices.values().any(|pending| !pending.waits_for_deadline)
     }
 
     /// Whether everything that has happened is in the journal and synced as the settings require.
--- a/crates/sailcart-sender/src/memory/pool.rs
+++ b/crates/sailcart-sender/src/memory/pool.rs
@@ -27,8 +27,8 @@
         Pool { idle: HashMap::new(), to_settle: Vec::new(), max_idle_time, max_connections }
     }
 
-    /// Removes and returns a connection on which a call can be sent, if there is one. A call that was answered
-    /// in doubt at least `settle_time` ago is no longer in doubt.
+    /// Removes and returns a connection on which a call can be sent, if there is one. The response that a copy
+    /// displaced is awaited for `settle_time`.
     pub fn take(
         &mut self,
         endpoint: EndpointId,
@@ -40,6 +40,7 @@
         let is_suitable = |connection: &mut EndpointConnection| match choice {
             ConnectionChoice::Any => true,
             ConnectionChoice::Settled => !connection.matcher.has_doubt(),
+            ConnectionChoice::Certain => connection.matcher.next_refusal_is_certain(),
             ConnectionChoice::New => false,
         };
         while let Some(position) = idle.iter_mut().rposition(is_suitable) {
@@ -80,7 +81,7 @@
     /// are closed once they have settled.
     pub fn close(&mut self, endpoint: EndpointId, code: &'static str) {
         for mut connection in self.idle.remove(&endpoint).unwrap_or_default() {
-            if connection.matcher.has_doubt() {
+            if connection.matcher.awaits_response() {
                 connection.close_when_settled = Some(code);
                 self.to_settle.push((endpoint, connection));
             } else {
@@ -94,7 +95,7 @@
         let Some(idle) = self.idle.get_mut(&endpoint) else { return };
         idle.iter_mut().for_each(|connection| connection.matcher.settle(connection.age(), settle_time));
         let with_input = idle.extract_if(.., |connection| {
-            connection.matcher.has_doubt() && connection.check_input() == IdleState::Unread
+            connection.matcher.awaits_response() && connection.check_input() == IdleState::Unread
         });
         self.to_settle.extend(with_input.map(|connection| (endpoint, connection)));
     }
@@ -103,7 +104,7 @@
     /// not in doubt.
     pub fn close_oldest(&mut self, endpoint: EndpointId, code: &str) {
         let Some(idle) = self.idle.get_mut(&endpoint) else { return };
-        if let Some(position) = idle.iter().position(|connection| !connection.matcher.has_doubt()) {
+        if let Some(position) = idle.iter().position(|connection| !connection.matcher.awaits_response()) {
             idle.remove(position).log_end(code);
         }
     }
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -98,12 +98,13 @@
         ReceivedResponse { status, head, body }
     }
 
-    /// A copy that may be kept for long: a body of more than [`MAX_KEPT_BODY_BYTES`] is left out. A list of packets
-    /// without its body says of none of them that it was not executed.
+    /// A copy that may be kept for long, without the report and without a body of more than
+    /// [`MAX_KEPT_BODY_BYTES`]. A list of packets without its body says of none of them that it was not executed.
     pub fn to_keep(&self) -> Rc<ReceivedResponse> {
         let fits = self.body.len() <= MAX_KEPT_BODY_BYTES;
         let body = if fits { self.body.clone() } else { Vec::new() };
-        Rc::new(ReceivedResponse { status: self.status, head: self.head.clone(), body })
+        let head = self.head.as_ref().map(|head| Head { load_report: None, ..head.clone() });
+        Rc::new(ReceivedResponse { status: self.status, head, body })
     }
 
     /// The outcomes that this response gives to a call with these packets; `None` if it is incomplete and says
@@ -130,7 +131,7 @@
     /// Which connections may carry a call.
     fn connection_choice(&self, call: &Call) -> ConnectionChoice;
 
-    /// How long a response stays in doubt.
+    /// How long the response that a copy displaced is awaited.
     fn settle_time(&self) -> Duration;
 
     /// Whether a connection in doubt waits for the settle time before it carries another call.
@@ -152,6 +153,12 @@
     /// Receives a response that belongs to no call, as far as it was received.
     fn extra_response_received(&self, endpoint: EndpointId, head: Option<&Head>);
 
+    /// Whether a connection is closed once it has settled in doubt.
+    fn closes_settled_in_doubt(&self) -> bool;
+
+    /// Receives calls whose deliveries were in doubt and are confirmed.
+    fn confirm(&self, calls: &[Rc<SentCall>]);
+
     /// Receives the calls of a connection that were in doubt, after a response that belongs to no call.
     fn resolve(&self, calls: CallsInDoubt);
 }
--- a/crates/sailcart-sender/tests/common/mod.rs
+++ b/crates/sailcart-sender/tests/common/mod.rs
@@ -51,6 +51,12 @@
     Some(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// A 200 that differs from all others, as a server with a date or an id in its responses writes it: a kept
+/// connection leaves no doubt which call it belongs to.
+pub fn numbered_ok(number: usize) -> HttpReply {
+    http_response("200 OK", &format!("X-Number: {number}\r\n"), "")
+}
+
 /// Starts an HTTP server with one thread per connection that replies to each call with `reply(call)`.
 /// Returns its address.
 pub fn serve_http(address: &str, reply: impl Fn(&Call) -> HttpReply + Send + Sync + 'static) -> SocketAddr {
--- a/crates/sailcart-sender/tests/extra_responses.rs
+++ b/crates/sailcart-sender/tests/extra_responses.rs
@@ -495,6 +495,114 @@
     });
 }
 
+/// Starts a sender and submits a packet, `a1`, that gets the first response on the connection.
+fn start_with_first_response(scenario: &str, endpoint: &ScriptedEndpoint) -> Harness {
+    let harness = start_sender(scenario, endpoint, &[]);
+    submit_with_patience(&harness, "a1", 8000);
+    harness.wait_until("its outcome", |harness| harness.log().contains("packet a1 from"));
+    harness
+}
+
+/// Submits a packet whose call gets a copy of an earlier 200, and waits for its outcome.
+fn submit_for_copy(harness: &Harness, id: &str, patience_ms: u32) {
+    submit_with_patience(harness, id, patience_ms);
+    harness.wait_until("its outcome", |harness| harness.log().contains(&format!("packet {id} from")));
+}
+
+// Guards against losing a packet that the first copy of a process reports as delivered, by what follows the copy.
+#[test]
+fn a_refusal_behind_the_first_copy_that_is_read_as_the_next_call_s_response_loses_no_packet() {
+    const REFUSALS: [&str; 5] = [
+        "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n",
+        UNAVAILABLE,
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n",
+    ];
+    thread::scope(|scope| {
+        for (number, refusal) in REFUSALS.into_iter().enumerate() {
+            scope.spawn(move || {
+                let endpoint = ScriptedEndpoint::start(move |mut peer| {
+                    peer.read_call();
+                    peer.write(OK);
+                    peer.read_call();
+                    peer.write(OK);
+                    peer.read_call();
+                    peer.write(refusal);
+                    while peer.read_call().is_some() {}
+                });
+                let harness = start_with_first_response(&format!("first-copy-{number}"), &endpoint);
+                submit_for_copy(&harness, "a2", 3000);
+                submit_with_patience(&harness, "a3", 3000);
+                harness.wait_until("a repeat of a2 or its notice", |harness| {
+                    endpoint.calls_with("a2") == 2 || has_notice(harness, "a2")
+                });
+                harness.wait_until("a repeat of a3 or its notice", |harness| {
+                    endpoint.calls_with("a3") == 2 || has_notice(harness, "a3")
+                });
+                assert!(!has_notice(&harness, "a1"), "the first response on a connection is certain");
+            });
+        }
+    });
+}
+
+// Guards against losing a packet that the first copy of a process reports as delivered, where no response follows.
+#[test]
+fn the_first_copy_of_a_process_and_silence_or_a_close_behind_it_lose_no_packet() {
+    for (scenario, closes) in [("first-copy-hang", false), ("first-copy-close", true)] {
+        let endpoint = ScriptedEndpoint::start(move |mut peer| {
+            peer.read_call();
+            peer.write(OK);
+            peer.read_call();
+            peer.write(OK);
+            while !closes && peer.read_call().is_some() {}
+        });
+        let harness = start_with_first_response(scenario, &endpoint);
+        submit_for_copy(&harness, "a2", 2000);
+        harness.wait_until("the notice", |harness| has_notice(harness, "a2"));
+    }
+}
+
+// Guards against losing a packet that the first copy of a process reports as delivered, by a kill behind the copy.
+#[test]
+fn a_kill_behind_the_first_copy_of_a_process_loses_no_packet() {
+    let endpoint = ScriptedEndpoint::start(move |mut peer| {
+        peer.read_call();
+        peer.write(OK);
+        peer.read_call();
+        peer.write(OK);
+        while peer.read_call().is_some() {}
+    });
+    let mut harness = start_with_first_response("first-copy-kill", &endpoint);
+    submit_for_copy(&harness, "a2", 8000);
+    harness.kill();
+    harness.start();
+    harness.wait_until("a repeat or a notice", |harness| {
+        endpoint.calls_with("a2") == 2 || has_notice(harness, "a2")
+    });
+}
+
+// Guards against notices of more delivered packets than may have been displaced, and before their deadlines.
+#[test]
+fn of_packets_with_equal_responses_only_the_last_two_on_a_connection_get_a_notice_at_their_deadlines() {
+    let endpoint = ScriptedEndpoint::start_all(|mut peer| {
+        while peer.read_call().is_some() {
+            peer.write(OK);
+        }
+    });
+    let harness = start_with_first_response("equal-responses", &endpoint);
+    for id in ["a2", "a3", "a4", "a5", "a6"] {
+        submit_for_copy(&harness, id, 2000);
+    }
+    let submitted_at = Instant::now();
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(harness.notices(), [""; 0], "before the deadlines");
+    harness.wait_until("the notices", |harness| has_notice(harness, "a5") && has_notice(harness, "a6"));
+    assert!(submitted_at.elapsed() < Duration::from_millis(2350), "{:?}", submitted_at.elapsed());
+    assert!(["a1", "a2", "a3", "a4"].iter().all(|id| !has_notice(&harness, id)), "{:?}", harness.notices());
+    assert_eq!(endpoint.ids.lock().expect("mutex is not poisoned").len(), 6, "each packet was sent once");
+}
+
 #[test]
 fn the_wait_in_a_displaced_response_is_heeded() {
     const RETRY_AFTER: Duration = Duration::from_millis(2000);
--- a/src/control.rs
+++ b/src/control.rs
@@ -49,7 +49,7 @@
 use crate::decaying_counter::DecayingCounter;
 use crate::host::*;
 use crate::listing::DestinationList;
-use crate::response_doubt::{CallNeeds, ConnectionChoice, ResponseDoubt, UnresolvedDelivery};
+use crate::response_doubt::{CallNeeds, ConnectionChoice, ResponseDoubt};
 use crate::response_matching::Attribution;
 use crate::state::*;
 use crate::token_bucket::TokenBucket;
@@ -872,8 +872,8 @@
         }
     }
 
-    /// How long a response stays in doubt: the time within which an endpoint that answers at all would have
-    /// sent the response that a copy displaced.
+    /// How long the response that a copy displaced is awaited: the time within which an endpoint that answers at
+    /// all usually would have sent it.
     pub fn settle_time(&self) -> Duration {
         let parameters = &self.parameters;
         parameters
@@ -921,9 +921,9 @@
         self.response_doubt.must_settle_before_reuse(now)
     }
 
-    /// How a delivery completes whose response is still in doubt after the settle time.
-    pub fn unresolved_delivery(&self, now: Duration) -> UnresolvedDelivery {
-        self.response_doubt.unresolved_delivery(now)
+    /// Whether a connection is closed once it has settled in doubt.
+    pub fn closes_settled_in_doubt(&self) -> bool {
+        self.response_doubt.closes_settled_in_doubt()
     }
 
     fn record_health_change(&mut self, upstream_id: UpstreamId, before: HealthState, after: HealthState) {
--- a/src/response_doubt.rs
+++ b/src/response_doubt.rs
@@ -5,12 +5,13 @@
 //! host keeps the packet until the doubt has ended. One that reports anything else counts as a possible
 //! execution, and the host closes the connection, which withdraws the call from the endpoint.
 //!
+//! Until later responses on its connection confirm it, a delivery in doubt stands in the journal as one whose
+//! failure the platform is notified of at the deadline: a notice of a packet that was delivered is harmless, a
+//! packet without either is lost.
+//!
 //! A doubt is suspicious for [`EXTRA_RESPONSE_MEMORY`] after an extra response was seen, and where equal responses
 //! have turned out to be unusual. Then a refusal waits for the settle time for the response that it may have
-//! displaced, a connection in doubt carries no further call until it has settled, and a delivery whose doubt is
-//! never resolved completes with a notice at its deadline: a notice of a packet that was delivered is harmless, a
-//! packet without either is lost. Elsewhere, as where all deliveries are answered with the same bytes, a
-//! provisional delivery becomes final after the settle time.
+//! displaced, and a connection in doubt carries no further call until nothing more has come for that time.
 
 use std::time::Duration;
 
@@ -26,19 +27,12 @@
     Any,
     /// An idle connection on which no call is in doubt, or a new one.
     Settled,
+    /// An idle connection on which a refusal is certain to belong to its call, or a new one.
+    Certain,
     /// A new connection: its first response is certain.
     New,
 }
 
-/// How a delivery whose response stayed in doubt completes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UnresolvedDelivery {
-    /// As delivered.
-    Completed,
-    /// With a notice of its failure at its deadline.
-    NotifiedAtDeadline,
-}
-
 /// Equal responses are unusual where at least so many differ from all earlier ones for each that does not.
 const MIN_DISTINCT_PER_DOUBT: u64 = 8;
 
@@ -110,7 +104,9 @@
         } else if in_order && !self.responses_usually_differ() {
             // The next packet of the key would be sent before a doubt has ended.
             ConnectionChoice::New
-        } else if needs_certainty {
+        } else if exact_outcome {
+            ConnectionChoice::Certain
+        } else if in_order {
             ConnectionChoice::Settled
         } else {
             ConnectionChoice::Any
@@ -122,13 +118,10 @@
         self.doubt_is_suspicious(now)
     }
 
-    /// How a delivery completes whose response is still in doubt after the settle time.
-    pub fn unresolved_delivery(&self, now: Duration) -> UnresolvedDelivery {
-        if self.doubt_is_suspicious(now) {
-            UnresolvedDelivery::NotifiedAtDeadline
-        } else {
-            UnresolvedDelivery::Completed
-        }
+    /// Whether a connection is closed once it has settled in doubt. Where responses usually differ, few
+    /// connections are, and later responses on it would stay in doubt.
+    pub fn closes_settled_in_doubt(&self) -> bool {
+        self.responses_usually_differ()
     }
 
     /// Whether the success in a response says anything about the health of an upstream.
