Only incomplete commands of clients are discarded when their memory is used up

What callers would have seen: complete commands behind 64 that wait for their replies were discarded with the input of the client that was silent for longest, and their connection closed: read and not answered, so lost.

Cause: the candidates were all connections with input.

Change: a connection is read only once the pool has room for one read; to make room only incomplete commands are discarded, and where there is none the connection waits 5 ms and looks again.

--- a/crates/sailcart-sender/src/client_input.rs
+++ b/crates/sailcart-sender/src/client_input.rs
@@ -6,6 +6,8 @@
 
 /// Size of a chunk, in bytes.
 const CHUNK_BYTES: usize = 4096;
+/// Least number of chunks: a command of the largest size and one read.
+const MIN_CHUNKS: u64 = 32;
 /// Number of unused chunks that are kept for reuse.
 const MAX_FREE_CHUNKS: usize = 256;
 
@@ -22,7 +24,7 @@
 impl ChunkPool {
     /// A pool whose chunks, in use or kept for reuse, take up to `max_bytes`.
     pub fn new(max_bytes: u64) -> Self {
-        let max_chunks = (max_bytes / CHUNK_BYTES as u64).max(1) as usize;
+        let max_chunks = (max_bytes / CHUNK_BYTES as u64).max(MIN_CHUNKS) as usize;
         ChunkPool { free: RefCell::default(), used: Cell::new(0), max_chunks }
     }
 
@@ -31,6 +33,11 @@
         self.used.get() * CHUNK_BYTES
     }
 
+    /// Whether one connection can store so many more bytes.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.max_chunks - self.used.get() >= bytes.div_ceil(CHUNK_BYTES)
+    }
+
     fn take(&self) -> Option<Chunk> {
         if self.used.get() >= self.max_chunks {
             return None;
--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -30,6 +30,8 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Memory for a command that waits for its reply, in addition to a large reply.
 const PENDING_COMMAND_BYTES: usize = 256;
+/// Delay before a connection looks again for memory to store its input.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Replies are written together up to this size.
 const MAX_JOINED_REPLY_BYTES: usize = 4 * 1024;
 /// Bounds a graceful close: how long the client's input is still read, and discarded, after this side has
@@ -404,49 +406,58 @@
         }
     }
 
-    /// Waits for input and stores it. Cancel safe: nothing is read before it is stored.
+    /// Waits for input, and for memory to store it. Cancel safe: nothing is read before it is stored.
     async fn receive(&self, stream: &Socket, connection: &Connection) -> io::Result<Received> {
         loop {
             stream.readable().await?;
+            if !self.make_room(READ_BYTES) {
+                sleep(MEMORY_RETRY_DELAY).await;
+                continue;
+            }
+            if connection.input.borrow().was_discarded() {
+                return Ok(Received::NoMemory);
+            }
             let mut buffer = self.read_buffer.borrow_mut();
             match stream.try_read(&mut buffer) {
                 Ok(0) => return Ok(Received::End),
-                Ok(length) if self.store(connection, &buffer[..length]) => return Ok(Received::Stored),
-                Ok(_) => return Ok(Received::NoMemory),
+                Ok(length) => {
+                    let stored = connection.input.borrow_mut().append(&self.chunks, &buffer[..length]);
+                    debug_assert_eq!(stored, length);
+                    return Ok(Received::Stored);
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error),
             }
         }
     }
 
-    /// Appends received bytes to a connection's input, and discards the input of others where there is no memory
-    /// for it. Returns false if this connection's input was discarded.
-    fn store(&self, connection: &Connection, mut bytes: &[u8]) -> bool {
-        loop {
-            let stored = connection.input.borrow_mut().append(&self.chunks, bytes);
-            bytes = &bytes[stored..];
-            if bytes.is_empty() {
-                return true;
-            }
-            self.discard_input();
-            if connection.input.borrow().was_discarded() {
+    /// Discards incomplete commands until so many bytes of input can be stored. Returns false if there are too few:
+    /// complete commands that were received are owed their replies, so they are never discarded.
+    fn make_room(&self, bytes: usize) -> bool {
+        while !self.chunks.has_room(bytes) {
+            if !self.discard_incomplete_command() {
                 return false;
             }
         }
+        true
     }
 
-    /// Discards the input of the connection that the policy chooses.
-    fn discard_input(&self) {
+    /// Discards the incomplete command that the policy chooses; false if there is none.
+    fn discard_incomplete_command(&self) -> bool {
         let connections = self.connections.borrow();
-        let with_input = connections.values().filter(|candidate| !candidate.input.borrow().is_empty());
-        let candidates = with_input.map(|candidate| (candidate, candidate.input.borrow().silent_for()));
-        let Some(chosen) = input_to_discard(candidates) else { return };
+        let incomplete = connections.values().filter(|candidate| {
+            let input = candidate.input.borrow();
+            !input.is_empty() && !input.may_be_complete()
+        });
+        let candidates = incomplete.map(|candidate| (candidate, candidate.input.borrow().silent_for()));
+        let Some(chosen) = input_to_discard(candidates) else { return false };
         chosen.input.borrow_mut().discard(&self.chunks);
         chosen.input_discarded.notify_one();
         self.discarded.set(self.discarded.get() + 1);
         if self.discarded.get().is_power_of_two() {
             log::warn!("clients: code=crowded count={}", self.discarded.get());
         }
+        true
     }
 
     fn start_command(&self, command: &Command, connection: &Connection) -> PendingCommand {
@@ -473,7 +484,7 @@
 enum Received {
     /// Input, which was stored.
     Stored,
-    /// Input, for which there was no memory.
+    /// Nothing: the incomplete command was discarded.
     NoMemory,
     /// The client has closed its side.
     End,
--- a/crates/sailcart-sender/tests/client_memory.rs
+++ b/crates/sailcart-sender/tests/client_memory.rs
@@ -65,8 +65,7 @@
     longest
 }
 
-/// Lets `act` run on a thread for each group of clients, beside a usual client. Returns the most memory in use and
-/// the longest time to a reply of the usual client.
+/// Runs groups of clients beside a usual one; returns the most memory and the usual client's longest wait.
 fn run_clients(harness: &Harness, act: impl Fn(usize, SocketAddr) + Sync) -> (u64, Duration) {
     let process = harness.sender.as_ref().expect("the sender is running").id();
     let (stopped, sender, folder) = (AtomicBool::new(false), harness.listen_address, &harness.folder);
@@ -126,3 +125,43 @@
         assert!(longest <= REPLY_TIMEOUT, "{pieces} pieces: {longest:?}");
     }
 }
+
+// Guards against complete commands that wait for earlier replies being discarded to make room for other clients.
+#[test]
+fn complete_commands_keep_their_replies_while_stopping_clients_use_up_the_memory() {
+    const COMMANDS: usize = 90;
+    let mut harness = Harness::new("waiting-commands", |_, _| http_response("200 OK", "", ""));
+    harness.restart_with(&[
+        (r#""memory_mb": 192"#, r#""memory_mb": 32"#),
+        (r#""period_ms": 5,"#, r#""period_ms": 1500,"#),
+    ]);
+    let sender = harness.listen_address;
+    let fields = |id: &str| format!("c=notice,t=acme,d=8000,k={id},dest=7");
+    // Every command waits for the next round, and no more than 64 of a connection wait at once.
+    let commands: String =
+        (0..COMMANDS).map(|number| submit_command(&format!("p{number}"), &fields("p"), "hello")).collect();
+    let mut waiting = TcpStream::connect(sender).expect("connect to the sender");
+    waiting.write_all(submit_command("first", &fields("first"), "hello").as_bytes()).expect("written");
+    waiting.read_exact(&mut [0; 5]).expect("the sender replies");
+    waiting.write_all(commands.as_bytes()).expect("the commands are written");
+    thread::sleep(Duration::from_millis(100));
+    let large = submit_command("bad", &fields("bad"), &"x".repeat(MAX_BODY_BYTES));
+    let stopping: Vec<TcpStream> = (0..120)
+        .map(|_| {
+            let mut stream = TcpStream::connect(sender).expect("connect to the sender");
+            stream.write_all(&large.as_bytes()[..60_000]).expect("the command is written");
+            stream
+        })
+        .collect();
+    waiting.set_read_timeout(Some(Duration::from_secs(8))).expect("set the read timeout");
+    let mut replies = String::new();
+    while replies.matches("\r\n").count() < COMMANDS {
+        let mut bytes = [0; 4096];
+        let length = waiting.read(&mut bytes).expect("every command gets its reply");
+        assert!(length > 0, "closed after {replies:?}");
+        replies.push_str(&String::from_utf8_lossy(&bytes[..length]));
+    }
+    assert!(replies.lines().all(|reply| reply == "+OK" || reply.starts_with("-BUSY")), "{replies}");
+    assert!(harness.log().contains("code=crowded"), "the memory was not used up");
+    drop(stopping);
+}
--- a/crates/sailcart-sender/tests/common/mod.rs
+++ b/crates/sailcart-sender/tests/common/mod.rs
@@ -51,8 +51,7 @@
     Some(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
 }
 
-/// A 200 that differs from all others, as a server with a date or an id in its responses writes it: a kept
-/// connection leaves no doubt which call it belongs to.
+/// A 200 that differs from all others, as that of a server that writes a date or an id.
 pub fn numbered_ok(number: usize) -> HttpReply {
     http_response("200 OK", &format!("X-Number: {number}\r\n"), "")
 }
