--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -15,7 +15,7 @@
 pub mod staged;
 pub mod update;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,6 +39,9 @@
 /// Longest interval between rounds when nothing arrives and the sender has requested none.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_secs(3600);
 
+/// A round that takes longer delays everything else in the process, and is logged.
+const SLOW_ROUND: Duration = Duration::from_millis(50);
+
 /// The sender, its host and the signals between the tasks that use them.
 pub struct Exchange<F: Files = Disk> {
     inner: RefCell<Inner<F>>,
@@ -50,6 +53,8 @@
     pub notices_sent: Notify,
     /// Signalled when the platform has acknowledged notices.
     notices_acknowledged: Notify,
+    /// Number of rounds that took longer than [`SLOW_ROUND`].
+    slow_rounds: Cell<u64>,
 }
 
 struct Inner<F: Files> {
@@ -79,6 +84,7 @@
             notice_queued,
             notices_sent,
             notices_acknowledged,
+            slow_rounds: Cell::new(0),
         }
     }
 
@@ -181,6 +187,20 @@
         round
     }
 
+    /// Logs the first slow round and each that doubles their number, with the table entries that each phase of
+    /// the rounds accessed so far.
+    fn log_slow_round(&self, took: Duration) {
+        if took < SLOW_ROUND {
+            return;
+        }
+        let count = self.slow_rounds.get() + 1;
+        self.slow_rounds.set(count);
+        if count.is_power_of_two() {
+            let visits = self.inner.borrow().sender.phase_visits().clone();
+            log::warn!("rounds: code=slow count={count} took={took:?} {visits}");
+        }
+    }
+
     /// When the next round is due without further input.
     fn next_round(&self) -> Instant {
         let host = &self.inner.borrow().host;
@@ -202,6 +222,7 @@
             }
             let start = Instant::now();
             let Round { endpoints_to_close, calls } = self.decide();
+            self.log_slow_round(start.elapsed());
             for (endpoint, code) in endpoints_to_close {
                 endpoints.close(endpoint, code);
             }
--- a/src/control.rs
+++ b/src/control.rs
@@ -51,6 +51,7 @@
 use crate::listing::DestinationList;
 use crate::response_doubt::{CallNeeds, ConnectionChoice, ResponseDoubt};
 use crate::response_matching::Attribution;
+use crate::round_phase::{PhaseVisits, RoundPhase};
 use crate::state::*;
 use crate::token_bucket::TokenBucket;
 
@@ -504,7 +505,7 @@
     parameters: Parameters,
     rng: Option<ChaCha8Rng>,
     now: Duration,
-    packets: BTreeMap<PacketId, TrackedPacket>,
+    packets: CountingMap<PacketId, TrackedPacket>,
     destination_list: DestinationList,
     /// The destinations that had traffic, with what was learned about them.
     destinations: CountingMap<DestinationId, Destination>,
@@ -513,12 +514,12 @@
     /// Those that may have endpoints to remove, because the list changed.
     cleanup_candidates: BTreeSet<DestinationId>,
     /// The held packets, for destinations that have any.
-    held: BTreeMap<DestinationId, BTreeSet<PacketId>>,
+    held: CountingMap<DestinationId, BTreeSet<PacketId>>,
     upstreams: CountingMap<UpstreamId, Upstream>,
     endpoints: CountingMap<EndpointId, Endpoint>,
-    calls: BTreeMap<u64, Call>,
+    calls: CountingMap<u64, Call>,
     next_call_id: u64,
-    key_queues: BTreeMap<KeyId, KeyQueue>,
+    key_queues: CountingMap<KeyId, KeyQueue>,
     customer_buckets: Vec<TokenBucket>,
     /// When held packets are examined again or expire.
     expirations: BTreeSet<(Duration, PacketId)>,
@@ -539,6 +540,7 @@
     response_doubt: ResponseDoubt,
     /// Changes of health that the host has not taken yet, [`MAX_HEALTH_CHANGES`] at most.
     health_changes: Vec<HealthChange>,
+    phase_visits: PhaseVisits,
 }
 
 impl Sender {
@@ -580,10 +582,23 @@
     /// Number of table entries accessed so far. It shows whether work is proportional to what changed or to
     /// the whole destination list.
     pub fn entries_visited(&self) -> u64 {
-        let tables = [self.destinations.visited(), self.upstreams.visited(), self.endpoints.visited()];
+        let tables = [
+            self.destinations.visited(),
+            self.upstreams.visited(),
+            self.endpoints.visited(),
+            self.held.visited(),
+            self.packets.visited(),
+            self.calls.visited(),
+            self.key_queues.visited(),
+        ];
         self.destination_list.visited() + tables.iter().sum::<u64>()
     }
 
+    /// Number of table entries accessed in each phase of the rounds so far.
+    pub fn phase_visits(&self) -> &PhaseVisits {
+        &self.phase_visits
+    }
+
     /// Whether a packet is tracked: from its acceptance to its completion or, if it is withdrawn while in
     /// flight, to the completion of its call.
     pub fn is_tracked(&self, id: PacketId) -> bool {
@@ -1173,13 +1188,21 @@
         if self.list_request_at.take_if(|at| *at <= self.now).is_some() {
             host.request_list();
         }
-        self.fail_due_packets(host);
-        self.close_idle(host);
-        self.detect_stalls();
-        self.shed_load(host);
-        self.cancel_stalled_calls(host);
-        self.assign_slots(host);
-        self.schedule_wake(host);
+        self.run_phase(RoundPhase::FailDuePackets, |sender| sender.fail_due_packets(host));
+        self.run_phase(RoundPhase::CloseIdle, |sender| sender.close_idle(host));
+        self.run_phase(RoundPhase::DetectStalls, Self::detect_stalls);
+        self.run_phase(RoundPhase::ShedLoad, |sender| sender.shed_load(host));
+        self.run_phase(RoundPhase::CancelStalledCalls, |sender| sender.cancel_stalled_calls(host));
+        self.run_phase(RoundPhase::AssignSlots, |sender| sender.assign_slots(host));
+        self.run_phase(RoundPhase::ScheduleWake, |sender| sender.schedule_wake(host));
+    }
+
+    /// Runs a phase of a round and counts the table entries that it accesses.
+    fn run_phase(&mut self, phase: RoundPhase, run: impl FnOnce(&mut Self)) {
+        let before = self.entries_visited();
+        run(self);
+        let visits = self.entries_visited() - before;
+        self.phase_visits.add(phase, visits);
     }
 
     /// Fails the packets that are marked for failure, and those whose dispatch deadline has passed or whose
@@ -1285,7 +1308,7 @@
             return;
         }
         let mut stalled: Vec<(bool, Duration, u64)> = Vec::new();
-        for (id, call) in &self.calls {
+        for (id, call) in self.calls.iter() {
             let upstream = &self.upstreams[&call.upstream_id];
             let may_be_slow = !self.parameters.sparse_traffic
                 || upstream.stall_timeout(&self.parameters) > self.parameters.min_soft_limit / 3;
--- a/src/counting_map.rs
+++ b/src/counting_map.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Removes the entries for which `keep` does not hold.
+    pub fn retain(&mut self, keep: impl FnMut(&K, &mut V) -> bool) {
+        self.visited.set(self.visited.get() + self.entries.len() as u64);
+        self.entries.retain(keep);
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         self.entries.iter().inspect(|_| self.count_visit())
     }
@@ -83,6 +89,10 @@
         self.iter().map(|(key, _)| key)
     }
 
+    pub fn values(&self) -> impl Iterator<Item = &V> {
+        self.iter().map(|(_, value)| value)
+    }
+
     pub fn values_mut(&mut self) -> impl Iterator<Item = &mut V> {
         let visited = &self.visited;
         self.entries.values_mut().inspect(|_| visited.set(visited.get() + 1))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`control`] makes every decision, with [`response_matching`] and [`response_doubt`] for responses that may
 //! belong to another call, and [`memory_budget`] for the shares of the memory. [`host`] is the interface between them and the program that carries the packets.
 //! The other modules hold data and decide nothing: the destination list (`listing`), the state
-//! of destinations, endpoints and calls (`state`), a map that counts its accesses (`counting_map`), a token
+//! of destinations, endpoints and calls (`state`), the phases of a round (`round_phase`), a map that counts its accesses (`counting_map`), a token
 //! bucket (`token_bucket`) and an exponentially decaying counter (`decaying_counter`).
 
 pub mod control;
@@ -14,6 +14,7 @@
 pub mod memory_budget;
 pub mod response_doubt;
 pub mod response_matching;
+pub mod round_phase;
 mod state;
 mod token_bucket;
 
