Rounds: their work grows with what came in, not with its square or with what is held

Cause: shed_load counted all held packets of each destination and ordered those of the fullest one for each packet that it shed. By the rig of tests/round_cost.rs the same shape stood in the recording of outcomes (every change of a packet's state walked all calls, every end all keys, with many senders each outcome all held packets of its destination) and in the dispatches (each ordered all held packets and walked all calls). Change: the state is kept with the orders in which decisions need it: held_packets (shedding order, fullest destination), calls_in_flight (counts by destination and endpoint), key_queues (ends of blocks), slot_candidates; packets are put in order once a round. Packets behind a reduced rate are checked once a round. A packet has one expiration, which goes with it: those of completed packets stayed until their time, took memory and caused rounds.

--- a/src/control.rs
+++ b/src/control.rs
@@ -45,13 +45,17 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
+use crate::calls_in_flight::CallsInFlight;
 use crate::counting_map::CountingMap;
 use crate::decaying_counter::DecayingCounter;
+use crate::held_packets::{HeldPackets, HeldQueue, SheddingOrder};
 use crate::host::*;
+use crate::key_queues::KeyQueues;
 use crate::listing::DestinationList;
 use crate::response_doubt::{CallNeeds, ConnectionChoice, ResponseDoubt};
 use crate::response_matching::Attribution;
 use crate::round_phase::{PhaseVisits, RoundPhase};
+use crate::slot_candidates::{SlotCandidate, SlotCandidates};
 use crate::state::*;
 use crate::token_bucket::TokenBucket;
 
@@ -441,15 +445,36 @@
     /// It was refused, and each further dispatch counts against the retry budget.
     refused: bool,
     state: PacketState,
+    /// When it is examined again or expires; set while it is held.
+    expires_at: Option<Duration>,
 }
 
 impl TrackedPacket {
+    /// Which packets of the fullest destination are shed first: those beyond a quota, then those with the earliest
+    /// deadline. Those that the previous process accepted and did not dispatch are shed only if there are no others.
+    fn shedding_order(&self) -> SheddingOrder {
+        SheddingOrder {
+            last_resort: self.is_restored_and_untried(),
+            within_quota: !self.over_quota,
+            deadline: self.packet.deadline,
+        }
+    }
+
     /// It was accepted by the previous process and has not been dispatched yet.
     fn is_restored_and_untried(&self) -> bool {
         self.packet.accepted_by_previous_process && self.packet.dispatches == 0
     }
 }
 
+/// What the dispatches of one round have in common.
+#[derive(Default)]
+struct DispatchRound {
+    /// The packets that wait for an upstream and have not been dispatched yet, in the order of their dispatch.
+    waiting: BTreeMap<UpstreamId, VecDeque<PacketId>>,
+    /// Calls in flight to unresponsive or ejected upstreams.
+    probes: usize,
+}
+
 /// The settings, the values derived from them, and the measurements that all upstreams share.
 #[derive(Default)]
 struct Parameters {
@@ -513,15 +538,14 @@
     eviction_queue: VecDeque<DestinationId>,
     /// Those that may have endpoints to remove, because the list changed.
     cleanup_candidates: BTreeSet<DestinationId>,
-    /// The held packets, for destinations that have any.
-    held: CountingMap<DestinationId, BTreeSet<PacketId>>,
+    held: HeldPackets,
     upstreams: CountingMap<UpstreamId, Upstream>,
     endpoints: CountingMap<EndpointId, Endpoint>,
-    calls: CountingMap<u64, Call>,
+    calls: CallsInFlight,
     next_call_id: u64,
-    key_queues: CountingMap<KeyId, KeyQueue>,
+    key_queues: KeyQueues,
     customer_buckets: Vec<TokenBucket>,
-    /// When held packets are examined again or expire.
+    /// When held packets are examined again or expire: one time for each.
     expirations: BTreeSet<(Duration, PacketId)>,
     /// Answers, losses, refusals and reached connection limits, by kind of destination.
     kind_counters: Vec<[DecayingCounter; 4]>,
@@ -531,6 +555,8 @@
     retry_budget: f64,
     /// Packets to fail in this round, with the estimated wait that their dismissal reports.
     pending_failures: Vec<(PacketId, Option<Duration>)>,
+    /// Destinations whose held packets are to be checked in this round: the rate of an upstream was reduced.
+    slowed_destinations: BTreeSet<DestinationId>,
     next_wake_at: Option<Duration>,
     /// When to request the destination list, where updates are not pushed.
     list_request_at: Option<Duration>,
@@ -668,24 +694,19 @@
             let Some(Destination { endpoints, upstreams, .. }) = self.destinations.get_mut(id) else {
                 continue;
             };
-            let in_flight = |id: &EndpointId| self.calls.values().any(|call| call.endpoint == *id);
+            let in_flight = |id: &EndpointId| self.calls.count_at(*id) > 0;
             endpoints.retain(|id| self.endpoints.retain_one(id, |endpoint| endpoint.live || in_flight(id)));
             let in_use =
                 |upstream_id: &UpstreamId| upstream_id.1.is_none_or(|endpoint| endpoints.contains(&endpoint));
             upstreams.retain(|upstream_id| self.upstreams.retain_one(upstream_id, |_| in_use(upstream_id)));
         }
-        let delisted = self
-            .held
-            .iter()
-            .filter(|(id, _)| !self.destination_list.contains(**id))
-            .flat_map(|(_, held)| held);
-        delisted.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.hold(id));
+        self.hold_again_where_delisted(&candidates);
         for id in candidates {
             let Some(destination) = self.destinations.get(&id) else { continue };
             let recently_used =
                 destination.last_held_at.saturating_add(self.parameters.recovery.warm_up) > self.now;
             let not_live = |id: &EndpointId| self.endpoints.get(id).is_none_or(|endpoint| !endpoint.live);
-            if destination.endpoints.is_empty() && !self.held.contains_key(&id) && !recently_used {
+            if destination.endpoints.is_empty() && !self.held.contains(id) && !recently_used {
                 self.remove_destination(id);
             } else if !self.destination_list.contains(id) || destination.endpoints.iter().any(not_live) {
                 self.cleanup_candidates.insert(id);
@@ -693,6 +714,14 @@
         }
     }
 
+    /// Holds the packets of destinations that are no longer listed anew: they expire earlier.
+    fn hold_again_where_delisted(&mut self, candidates: &BTreeSet<DestinationId>) {
+        let delisted = candidates.iter().filter(|id| !self.destination_list.contains(**id));
+        let queues = delisted.filter_map(|id| self.held.get(*id));
+        let packets: Vec<PacketId> = queues.flat_map(HeldQueue::packets).collect();
+        packets.into_iter().for_each(|id| self.hold(id));
+    }
+
     fn remove_destination(&mut self, id: DestinationId) {
         let removed = self.destinations.remove(&id).unwrap_or_default();
         self.upstreams.remove_all(&removed.upstreams);
@@ -723,7 +752,7 @@
             let unrestricted = |upstream: &Upstream| {
                 upstream.health == Health::Healthy && upstream.blocked_until <= self.now
             };
-            let idle = !self.held.contains_key(&id) && self.calls_in_flight(&id) == 0;
+            let idle = !self.held.contains(id) && self.calls.count_to(id) == 0;
             let warm = destination.last_held_at.saturating_add(self.parameters.recovery.warm_up) <= self.now;
             if idle && warm && self.upstreams_of(&id).all(unrestricted) {
                 self.remove_destination(id);
@@ -743,13 +772,9 @@
         let answer_due =
             packet.deadline.saturating_sub(category.patience.saturating_sub(category.soft_limit));
         if let (true, Some(key)) = (category.in_order, packet.key) {
-            let key_queue = self.key_queues.entry(key).or_default();
-            // A packet whose delivery turned out to be wrong goes before those accepted after it.
-            let position = key_queue.packets.partition_point(|other| *other < packet.id);
-            key_queue.packets.insert(position, packet.id);
-            key_queue.blocked_until = key_queue.blocked_until.max(
-                packet.possibly_executed_at.map_or(now, |_| now + self.parameters.settings.key_block_time),
-            );
+            let key_block_time = self.parameters.settings.key_block_time;
+            let blocked_until = packet.possibly_executed_at.map_or(now, |_| now + key_block_time);
+            self.key_queues.insert(key, packet.id, blocked_until);
         }
         // Beyond this sender's share of its customer's quota a packet earns little credit.
         let over_quota = packet.customer.is_some_and(|CustomerId(index)| {
@@ -762,8 +787,18 @@
         });
         let (id, destination, state) =
             (packet.id, packet.destination, PacketState::Held(packet.possibly_executed_at));
-        self.packets
-            .insert(id, TrackedPacket { packet, category, answer_due, over_quota, refused: false, state });
+        self.packets.insert(
+            id,
+            TrackedPacket {
+                packet,
+                category,
+                answer_due,
+                over_quota,
+                refused: false,
+                state,
+                expires_at: None,
+            },
+        );
         self.evict_idle();
         self.activate(destination);
         for upstream_id in &self.destinations[&destination].upstreams {
@@ -780,7 +815,7 @@
     pub fn may_still_dispatch(&self, now: Duration, id: PacketId) -> bool {
         let Some(tracked) = self.packets.get(&id) else { return false };
         let PacketState::InFlight(call, _) = tracked.state else { return false };
-        let call = &self.calls[&call];
+        let Some(call) = self.calls.get(call) else { return false };
         let live = self.endpoints.get(&call.endpoint).is_some_and(|endpoint| endpoint.live);
         live && self.upstreams[&call.upstream_id].blocked_until <= now
             && now < self.dispatch_deadline(tracked)
@@ -804,8 +839,9 @@
         let Some(PacketState::InFlight(call, _)) = self.packets.get(&id).map(|tracked| tracked.state) else {
             return;
         };
-        let upstream =
-            self.upstreams.get_mut(&self.calls[&call].upstream_id).filter(|_| self.parameters.sparse_traffic);
+        let upstream_id = self.calls.get(call).map(|call| call.upstream_id);
+        let upstream = upstream_id.and_then(|id| self.upstreams.get_mut(&id));
+        let upstream = upstream.filter(|_| self.parameters.sparse_traffic);
         if let Some(upstream) = upstream {
             let limit = report.limit.min(2.0 * upstream.listed_rate.unwrap_or(f64::INFINITY));
             upstream.last_report = Some(LimitReport { limit, ..report });
@@ -857,7 +893,7 @@
         tracked.packet.dispatches = tracked.packet.dispatches.max(min_dispatches);
         let (state, key, destination) = (tracked.state, tracked.packet.key, tracked.packet.destination);
         let (PacketState::InFlight(call, _) | PacketState::Withdrawn(call)) = state else { return };
-        let upstream_id = self.calls.get(&call).map(|call| call.upstream_id);
+        let upstream_id = self.calls.get(call).map(|call| call.upstream_id);
         let health = |sender: &Self| Some(sender.upstreams.get(&upstream_id?)?.health.state());
         let health_before = health(self);
         let sent_at = self.learn_from(call, elapsed, outcome, attribution);
@@ -867,10 +903,8 @@
         self.response_doubt.record_attribution(attribution);
         let may_still_execute = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
             || (attribution == Attribution::InDoubt && outcome != Outcome::Done && !completed);
-        if let (true, Some(key_queue)) =
-            (may_still_execute, key.and_then(|key| self.key_queues.get_mut(&key)))
-        {
-            key_queue.blocked_until = now.saturating_add(self.parameters.settings.key_block_time);
+        if let (true, Some(key)) = (may_still_execute, key) {
+            self.key_queues.block(key, now.saturating_add(self.parameters.settings.key_block_time));
         }
         let (PacketState::InFlight(_, possibly_executed_at), false) =
             (state, completed || outcome == Outcome::Done)
@@ -883,7 +917,7 @@
             PacketState::Held(possibly_executed_at.or(may_have_executed.then_some(sent_at))),
         );
         if self.parameters.sparse_traffic {
-            self.fail_packets_that_would_expire(destination);
+            self.slowed_destinations.insert(destination);
         }
     }
 
@@ -901,9 +935,10 @@
     pub fn connection_choice(&self, now: Duration, packets: &[PacketId]) -> ConnectionChoice {
         let tracked = || packets.iter().filter_map(|id| self.packets.get(id));
         let is_probe = |tracked: &TrackedPacket| match tracked.state {
-            PacketState::InFlight(call, _) => {
-                self.upstreams[&self.calls[&call].upstream_id].health.receives_only_probes()
-            }
+            PacketState::InFlight(call, _) => self
+                .calls
+                .get(call)
+                .is_some_and(|call| self.upstreams[&call.upstream_id].health.receives_only_probes()),
             _ => false,
         };
         let needs = CallNeeds {
@@ -968,7 +1003,7 @@
     ) -> Duration {
         let (now, parameters) = (self.now, &self.parameters);
         let jitter = self.rng.as_mut().map_or(0.5, |rng| rng.random());
-        let Some(call) = self.calls.get_mut(&call) else { return now };
+        let Some(call) = self.calls.get_mut(call) else { return now };
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return call.sent_at };
         let Some(upstream) = self.upstreams.get_mut(&call.upstream_id) else { return call.sent_at };
         // The outcomes of one call may arrive in several rounds, each with its wait counted anew: the longest
@@ -1072,22 +1107,21 @@
         match (from, to) {
             (PacketState::InFlight(..), PacketState::Withdrawn(_)) => return,
             (PacketState::Held(_), _) => {
-                let mut held = self.held.remove(&destination).unwrap_or_default();
-                held.remove(&id);
-                if !held.is_empty() {
-                    self.held.insert(destination, held);
-                }
+                let expires_at = tracked.expires_at.take();
+                self.expirations.remove(&(expires_at.unwrap_or_default(), id));
+                self.held.remove(destination, id);
             }
             (PacketState::InFlight(call, _) | PacketState::Withdrawn(call), _) => {
-                self.calls.entry(call).and_modify(|call| call.pending_packets.retain(|other| *other != id));
-                self.calls.retain(|_, call| !call.pending_packets.is_empty());
+                self.calls.remove_packet(call, id);
             }
             _ => {}
         }
         match to {
             PacketState::Held(_) => self.hold(id),
             PacketState::InFlight(call, _) => {
-                self.calls.entry(call).and_modify(|call| call.pending_packets.push(id));
+                if let Some(call) = self.calls.get_mut(call) {
+                    call.pending_packets.push(id);
+                }
             }
             PacketState::Withdrawn(_) => {}
             PacketState::Completed | PacketState::Dismissed | PacketState::Scrapped => self.remove_packet(id),
@@ -1111,7 +1145,7 @@
         };
         self.destinations.entry(destination).or_default().last_held_at = self.now;
         self.cleanup_candidates.extend((!listed).then_some(destination));
-        let wait = self.estimated_wait(destination, self.held.get(&destination).map_or(0, BTreeSet::len));
+        let wait = self.estimated_wait(destination, self.held.count(destination));
         let may_not_repeat =
             tracked.category.repeat == Repeat::Unrepeatable && tracked.state != PacketState::Held(None);
         let exhausted =
@@ -1119,8 +1153,18 @@
         if exhausted || self.would_expire(wait, tracked) {
             self.pending_failures.push((id, Some(wait)));
         }
-        self.held.entry(destination).or_default().insert(id);
-        self.expirations.insert((until, id));
+        self.held.insert(destination, id, tracked.shedding_order());
+        let until = tracked.expires_at.map_or(until, |earlier| earlier.min(until));
+        self.set_expiration(id, until);
+    }
+
+    /// Schedules the expiration of a held packet, in place of an earlier one.
+    fn set_expiration(&mut self, id: PacketId, at: Duration) {
+        let Some(tracked) = self.packets.get_mut(&id) else { return };
+        if let Some(previous) = tracked.expires_at.replace(at) {
+            self.expirations.remove(&(previous, id));
+        }
+        self.expirations.insert((at, id));
     }
 
     /// How long a packet waits behind `packets_ahead` held ones of its destination: until those are
@@ -1151,8 +1195,16 @@
     /// Checks the held packets of a destination again after an upstream's rate was reduced, because otherwise
     /// they would continue to wait although the upstream becomes available only after their deadline.
     fn fail_packets_that_would_expire(&mut self, destination: DestinationId) {
-        let held = self.held.get(&destination).into_iter().flatten().enumerate();
-        let waits = held.map(|(packets_ahead, id)| (*id, self.estimated_wait(destination, packets_ahead)));
+        let Some(held) = self.held.get(destination) else { return };
+        let longest_wait = self.estimated_wait(destination, held.len().saturating_sub(1));
+        let none_expires = |earliest_deadline| self.now.saturating_add(longest_wait) <= earliest_deadline;
+        if held.earliest_deadline().is_none_or(none_expires) {
+            return;
+        }
+        let waits = held
+            .packets()
+            .enumerate()
+            .map(|(packets_ahead, id)| (id, self.estimated_wait(destination, packets_ahead)));
         let expiring = waits.filter(|(id, wait)| self.would_expire(*wait, &self.packets[id]));
         let expiring: Vec<_> = expiring.map(|(id, wait)| (id, Some(wait))).collect();
         self.pending_failures.extend(expiring);
@@ -1176,9 +1228,7 @@
 
     fn remove_packet(&mut self, id: PacketId) {
         if let Some(key) = self.packets.remove(&id).and_then(|tracked| tracked.packet.key) {
-            self.key_queues.entry(key).and_modify(|key_queue| key_queue.packets.retain(|other| *other != id));
-            self.key_queues
-                .retain(|_, key_queue| !key_queue.packets.is_empty() || key_queue.blocked_until > self.now);
+            self.key_queues.remove(key, id, self.now);
         }
     }
 
@@ -1208,16 +1258,18 @@
     /// Fails the packets that are marked for failure, and those whose dispatch deadline has passed or whose
     /// destination has not been listed within a soft limit.
     fn fail_due_packets(&mut self, host: &mut impl Host) {
+        for destination in std::mem::take(&mut self.slowed_destinations) {
+            self.fail_packets_that_would_expire(destination);
+        }
         for (id, wait) in std::mem::take(&mut self.pending_failures) {
             self.fail_packet(id, wait, host);
         }
         while let Some((at, id)) = self.expirations.first().copied().filter(|(at, _)| *at <= self.now) {
             self.expirations.remove(&(at, id));
             let Some(tracked) = self.packets.get(&id) else { continue };
-            let PacketState::Held(_) = tracked.state else { continue };
             let until = self.dispatch_deadline(tracked);
             if until > self.now && self.destination_list.contains(tracked.packet.destination) {
-                self.expirations.insert((until, id));
+                self.set_expiration(id, until);
             } else {
                 self.fail_packet(id, None, host);
             }
@@ -1236,10 +1288,7 @@
             let needed_elsewhere = losses.read(now, window)
                 > answers.read(now, window) * IDLE_CLOSE_THRESHOLD
                 || connection_limits.read(now, window) > IDLE_CLOSE_THRESHOLD;
-            if needed_elsewhere
-                && self.parameters.sparse_traffic
-                && self.calls.values().all(|call| call.endpoint != id)
-            {
+            if needed_elsewhere && self.parameters.sparse_traffic && self.calls.count_at(id) == 0 {
                 host.close_idle(id);
             }
         }
@@ -1279,19 +1328,10 @@
     }
 
     /// Load shedding: before a failing destination fills the hold, the destination with the most held packets
-    /// loses the one with the earliest deadline; packets beyond a quota are chosen first. Packets that the
-    /// previous process accepted and did not dispatch are failed only if there are no others.
+    /// loses one of them; see [`TrackedPacket::shedding_order`].
     fn shed_load(&mut self, host: &mut impl Host) {
         while self.packets.len() > self.parameters.shedding_threshold {
-            let sheddable = |held: &&BTreeSet<PacketId>| {
-                held.iter().filter(|id| !self.packets[id].is_restored_and_untried()).count()
-            };
-            let Some(fullest) = self.held.values().max_by_key(sheddable) else { return };
-            let order = |id: &&PacketId| {
-                let TrackedPacket { packet, over_quota, .. } = &self.packets[id];
-                (self.packets[id].is_restored_and_untried(), !over_quota, packet.deadline, **id)
-            };
-            let Some(victim) = fullest.iter().min_by_key(order).copied() else { return };
+            let Some(victim) = self.held.first_to_shed() else { return };
             self.fail_packet(victim, self.parameters.settings.max_retry_after, host);
         }
     }
@@ -1318,14 +1358,14 @@
                     .pending_packets
                     .iter()
                     .any(|packet| self.packets[packet].category.repeat == Repeat::Unrepeatable);
-                stalled.push((unrepeatable, call.sent_at, *id));
+                stalled.push((unrepeatable, call.sent_at, id));
             }
         }
         stalled.sort();
         for (_, _, id) in
             stalled.iter().take(stalled.len().saturating_sub(self.parameters.settings.slots / 8))
         {
-            if let Some(call) = self.calls.get_mut(id).filter(|call| !call.cancelled) {
+            if let Some(call) = self.calls.get_mut(*id).filter(|call| !call.cancelled) {
                 call.cancelled = true;
                 for packet in &call.pending_packets {
                     host.cancel(*packet, self.packets[packet].packet.dispatches - 1);
@@ -1336,43 +1376,58 @@
 
     /// Whether a destination with a healthy upstream has held packets and is below its concurrency limit.
     fn healthy_destination_waits(&self) -> bool {
-        let mut waiting = self.held.keys().filter(|id| self.calls_in_flight(id) < self.concurrency_limit(id));
-        waiting.any(|id| self.upstreams_of(id).any(|upstream| upstream.health == Health::Healthy))
+        let mut waiting =
+            self.held.destinations().filter(|id| self.calls.count_to(*id) < self.concurrency_limit(id));
+        waiting.any(|id| self.upstreams_of(&id).any(|upstream| upstream.health == Health::Healthy))
     }
 
     /// Assigns free slots to destinations with a token. The next slot goes to the destination that is
     /// furthest below its max-min fair share and, among equals, to the one with the shorter answer time:
     /// where slots are scarce, one call to a slow destination takes as long as many calls to others.
     fn assign_slots(&mut self, host: &mut impl Host) {
+        if self.calls.len() >= self.parameters.settings.slots {
+            return;
+        }
         let available = |upstream: &Upstream| upstream.available_in(self.now, &self.parameters).is_zero();
-        let held = self.held.keys().copied().filter(|_| self.calls.len() < self.parameters.settings.slots);
-        let mut ready: Vec<_> = held.filter(|id| self.upstreams_of(id).any(available)).collect();
+        let ready: Vec<_> =
+            self.held.destinations().filter(|id| self.upstreams_of(id).any(available)).collect();
         if ready.is_empty() {
             return;
         }
         let shares = self.max_min_shares();
+        let answer_time = |upstream: &Upstream| upstream.expected_answer_time(&self.parameters);
+        let candidates = ready.into_iter().map(|id| SlotCandidate {
+            below_share: shares[&id] - self.calls.count_to(id) as f64,
+            answer_time: self.upstreams_of(&id).map(answer_time).min(),
+            destination: id,
+        });
+        let mut candidates = SlotCandidates::new(candidates);
+        let mut round = DispatchRound { probes: self.probes_in_flight(), ..DispatchRound::default() };
         while self.calls.len() < self.parameters.settings.slots {
-            let below_share = |id: &DestinationId| shares[id] - self.calls_in_flight(id) as f64;
-            let answer_time = |upstream: &Upstream| upstream.expected_answer_time(&self.parameters);
-            let rank = |id| (below_share(id), self.upstreams_of(id).map(answer_time).min());
-            let next = (0..ready.len()).max_by(|a, b| {
-                let (a, b) = (rank(&ready[*a]), rank(&ready[*b]));
-                a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
-            });
-            let Some(next) = next else { return };
-            if !self.dispatch_call(ready[next], host) {
-                ready.swap_remove(next);
+            let Some(next) = candidates.first() else { return };
+            if self.dispatch_call(next, &mut round, host) {
+                let below_share = shares[&next] - self.calls.count_to(next) as f64;
+                candidates.update_first(below_share);
+            } else {
+                candidates.remove_first();
             }
         }
     }
 
+    /// Number of calls in flight to unresponsive or ejected upstreams.
+    fn probes_in_flight(&self) -> usize {
+        let is_probe = |call: &&Call| self.upstreams[&call.upstream_id].health.receives_only_probes();
+        self.calls.values().filter(is_probe).count()
+    }
+
     /// Max-min fair shares of the slots by demand, which is the calls in flight and packets held, up to the
     /// concurrency limit.
     fn max_min_shares(&self) -> BTreeMap<DestinationId, f64> {
-        let competing: BTreeSet<_> =
-            self.held.keys().copied().chain(self.calls.values().map(|call| call.upstream_id.0)).collect();
-        let held = |id| self.held.get(id).map_or(0, BTreeSet::len);
-        let demand = |id| (self.calls_in_flight(id) + held(id)).min(self.concurrency_limit(id)) as f64;
+        let competing: BTreeSet<_> = self.held.destinations().chain(self.calls.destinations()).collect();
+        let demand = |id: &DestinationId| {
+            let packets = self.calls.count_to(*id) + self.held.count(*id);
+            packets.min(self.concurrency_limit(id)) as f64
+        };
         let mut demands: Vec<_> = competing.iter().map(|id| (demand(id), *id)).collect();
         demands.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let (mut remaining_slots, mut remaining_destinations) =
@@ -1387,10 +1442,6 @@
         shares
     }
 
-    fn calls_in_flight(&self, id: &DestinationId) -> usize {
-        self.calls.values().filter(|call| call.upstream_id.0 == *id).count()
-    }
-
     /// Concurrency limit of a destination: three quarters of the slots, half of them while it is failing or
     /// slow.
     fn concurrency_limit(&self, id: &DestinationId) -> usize {
@@ -1409,21 +1460,16 @@
 
     /// Sends one call to a destination, with up to the maximum batch of packets. Returns `false` if none can
     /// be sent now.
-    fn dispatch_call(&mut self, id: DestinationId, host: &mut impl Host) -> bool {
-        if self.calls_in_flight(&id) >= self.concurrency_limit(&id) {
+    fn dispatch_call(&mut self, id: DestinationId, round: &mut DispatchRound, host: &mut impl Host) -> bool {
+        if self.calls.count_to(id) >= self.concurrency_limit(&id) {
             return false;
         }
-        let Some(endpoint_id) = self.choose_endpoint(id) else { return false };
+        let Some(endpoint_id) = self.choose_endpoint(id, round.probes) else { return false };
         let upstream_id = self.endpoints[&endpoint_id].upstream_id;
-        let max_batch = self.destinations[&id].max_batch.max(1);
-        let eligible = self.held.get(&id).into_iter().flatten().filter(|packet| self.may_dispatch(**packet));
-        let mut ordered: Vec<_> = eligible
-            .map(|packet| (self.dispatch_order(*packet, &self.upstreams[&upstream_id]), *packet))
-            .collect();
-        if ordered.is_empty() {
+        let packets = self.next_batch(id, upstream_id, round);
+        if packets.is_empty() {
             return false;
         }
-        ordered.sort();
         let (call_id, sent_at) = (self.next_call_id, self.now);
         self.next_call_id += 1;
         let call = Call {
@@ -1436,10 +1482,11 @@
         };
         self.calls.insert(call_id, call);
         let upstream = self.upstreams.entry(upstream_id).or_default();
+        round.probes += usize::from(upstream.health.receives_only_probes());
         if let Some((rate, burst)) = upstream.rate_and_burst(sent_at, &self.parameters) {
             upstream.bucket.try_take(sent_at, rate, burst);
         }
-        for (_, packet) in ordered.into_iter().take(max_batch) {
+        for packet in packets {
             let timeout = self.dispatch_timeout(packet);
             let Some(tracked) = self.packets.get_mut(&packet) else { continue };
             let PacketState::Held(possibly_executed_at) = tracked.state else { continue };
@@ -1451,6 +1498,41 @@
         true
     }
 
+    /// Takes the packets of a destination's next call from those that wait for this upstream. They are put in
+    /// order once per round: nothing that the order depends on changes in between, and a packet that may not be
+    /// dispatched now may not be later in the same round.
+    fn next_batch(
+        &self,
+        id: DestinationId,
+        upstream_id: UpstreamId,
+        round: &mut DispatchRound,
+    ) -> Vec<PacketId> {
+        let may_dispatch = |packet: &PacketId| {
+            let tracked = self.packets.get(packet);
+            tracked.is_some_and(|tracked| matches!(tracked.state, PacketState::Held(_)))
+                && self.may_dispatch(*packet)
+        };
+        let waiting = round.waiting.entry(upstream_id).or_insert_with(|| {
+            let upstream = &self.upstreams[&upstream_id];
+            let held = self.held.get(id).into_iter().flat_map(HeldQueue::packets);
+            let mut ordered: Vec<_> = held
+                .filter(may_dispatch)
+                .map(|packet| (self.dispatch_order(packet, upstream), packet))
+                .collect();
+            ordered.sort();
+            ordered.into_iter().map(|(_, packet)| packet).collect()
+        });
+        let max_batch = self.destinations[&id].max_batch.max(1);
+        let mut batch = Vec::new();
+        while batch.len() < max_batch {
+            let Some(packet) = waiting.pop_front() else { break };
+            if may_dispatch(&packet) {
+                batch.push(packet);
+            }
+        }
+        batch
+    }
+
     /// A third of the patience, so that there is time to repeat the dispatch; all the remaining time for a
     /// packet that must not be repeated.
     fn dispatch_timeout(&self, id: PacketId) -> Duration {
@@ -1462,19 +1544,14 @@
     /// Chooses an endpoint at random, weighted by the number of further calls that its concurrency limit
     /// allows. Calls to unresponsive or ejected upstreams are probes; together they occupy at most half of
     /// the slots.
-    fn choose_endpoint(&mut self, id: DestinationId) -> Option<EndpointId> {
-        let probes = self
-            .calls
-            .values()
-            .filter(|call| self.upstreams[&call.upstream_id].health.receives_only_probes());
-        let probes_left = (self.parameters.settings.slots / 2).max(1).saturating_sub(probes.count());
+    fn choose_endpoint(&mut self, id: DestinationId, probes: usize) -> Option<EndpointId> {
+        let probes_left = (self.parameters.settings.slots / 2).max(1).saturating_sub(probes);
         let (now, parameters) = (self.now, &self.parameters);
         let mut candidates: Vec<(f64, EndpointId)> = Vec::new();
         for id in &self.destinations[&id].endpoints {
             let Some(endpoint) = self.endpoints.get(id) else { continue };
             let upstream = &self.upstreams[&endpoint.upstream_id];
-            let in_flight = self.calls.values().filter(|call| call.endpoint == *id).count();
-            let free = endpoint.concurrency_limit.saturating_sub(in_flight);
+            let free = endpoint.concurrency_limit.saturating_sub(self.calls.count_at(*id));
             let unavailable =
                 !endpoint.live || free == 0 || !upstream.available_in(now, parameters).is_zero();
             if !unavailable && (probes_left > 0 || !upstream.health.receives_only_probes()) {
@@ -1489,14 +1566,8 @@
     fn may_dispatch(&self, id: PacketId) -> bool {
         let tracked = &self.packets[&id];
         let within_budget = !tracked.refused || self.retry_budget >= 1.0;
-        let key_queue = tracked
-            .packet
-            .key
-            .filter(|_| tracked.category.in_order)
-            .and_then(|key| self.key_queues.get(&key));
-        within_budget
-            && key_queue
-                .is_none_or(|queue| queue.packets.front() == Some(&id) && queue.blocked_until <= self.now)
+        let key = tracked.packet.key.filter(|_| tracked.category.in_order);
+        within_budget && key.is_none_or(|key| self.key_queues.is_next(key, id, self.now))
     }
 
     /// Sort key of a held packet: the lowest is dispatched first. Probes of an unresponsive or ejected
@@ -1522,20 +1593,20 @@
     /// Requests a wake at the next time at which a decision can change.
     fn schedule_wake(&mut self, host: &mut impl Host) {
         let (now, parameters) = (self.now, &self.parameters);
-        let upstreams = self.held.keys().flat_map(|id| self.upstreams_of(id));
+        let destinations = self.held.destinations().filter_map(|id| self.destinations.get(&id));
+        let upstreams =
+            destinations.flat_map(|destination| &destination.upstreams).map(|id| &self.upstreams[id]);
         let available = upstreams.map(|upstream| now.saturating_add(upstream.available_in(now, parameters)));
-        let unblocked_keys = self
-            .key_queues
-            .values()
-            .filter(|key_queue| !key_queue.packets.is_empty())
-            .map(|key_queue| key_queue.blocked_until);
         let stalls = self
             .calls
             .values()
             .map(|call| call.sent_at + self.upstreams[&call.upstream_id].stall_timeout(parameters));
         let expiration = self.expirations.first().map(|(at, _)| *at);
-        let times =
-            available.chain(unblocked_keys).chain(stalls).chain(expiration).chain(self.list_request_at);
+        let times = available
+            .chain(self.key_queues.next_unblocked(now))
+            .chain(stalls)
+            .chain(expiration)
+            .chain(self.list_request_at);
         let Some(next) = times.filter(|at| *at > now && *at < Duration::MAX).min() else { return };
         if self.next_wake_at.is_none_or(|at| at <= now || next < at) {
             self.next_wake_at = Some(next);
--- a/src/counting_map.rs
+++ b/src/counting_map.rs
@@ -75,12 +75,6 @@
         }
     }
 
-    /// Removes the entries for which `keep` does not hold.
-    pub fn retain(&mut self, keep: impl FnMut(&K, &mut V) -> bool) {
-        self.visited.set(self.visited.get() + self.entries.len() as u64);
-        self.entries.retain(keep);
-    }
-
     pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         self.entries.iter().inspect(|_| self.count_visit())
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,18 +3,23 @@
 //! [`control`] makes every decision, with [`response_matching`] and [`response_doubt`] for responses that may
 //! belong to another call, and [`memory_budget`] for the shares of the memory. [`host`] is the interface between them and the program that carries the packets.
 //! The other modules hold data and decide nothing: the destination list (`listing`), the state
-//! of destinations, endpoints and calls (`state`), the phases of a round (`round_phase`), a map that counts its accesses (`counting_map`), a token
+//! of destinations, endpoints and calls (`state`), held packets, calls in flight and ordering keys with their indexes
+//! (`held_packets`, `calls_in_flight`, `key_queues`), the destinations that compete for slots (`slot_candidates`), the phases of a round (`round_phase`), a map that counts its accesses (`counting_map`), a token
 //! bucket (`token_bucket`) and an exponentially decaying counter (`decaying_counter`).
 
+mod calls_in_flight;
 pub mod control;
 mod counting_map;
 mod decaying_counter;
+mod held_packets;
 pub mod host;
+mod key_queues;
 mod listing;
 pub mod memory_budget;
 pub mod response_doubt;
 pub mod response_matching;
 pub mod round_phase;
+mod slot_candidates;
 mod state;
 mod token_bucket;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
-//! What a sender tracks of destinations, endpoints, calls, packets and keys. These are plain records: what is
+//! What a sender tracks of destinations, endpoints, calls and packets. These are plain records: what is
 //! learned about an upstream, and every decision, is in `control`.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::host::{DestinationId, EndpointId, KindId, PacketId};
@@ -60,11 +60,3 @@
     /// Failed for good, or withdrawn by its client while held.
     Scrapped,
 }
-
-/// The packets of one key, in the order in which they were accepted.
-#[derive(Default)]
-pub struct KeyQueue {
-    pub packets: VecDeque<PacketId>,
-    /// No packet of the key is dispatched before this time.
-    pub blocked_until: Duration,
-}
--- a/tests/round_cost.rs
+++ b/tests/round_cost.rs
@@ -93,11 +93,13 @@
     })
 }
 
-/// Packets of many destinations, one each, into a hold of 64.
+/// Packets of many destinations, one each, into a hold of 64 that is full.
 fn burst_to_many_destinations(destinations: u64) -> Cost {
-    let harness = Harness::new(settings_with(64, 8), destinations as u32, 0, 0.0);
+    let mut harness = full_hold(64, 0);
+    let entries: Vec<_> = (1..=destinations as u32).map(|n| list_entry(n, n, 0, 0.0, true)).collect();
+    harness.update_list(false, &entries);
     measure(harness, |harness| {
-        for destination in 0..destinations {
+        for destination in 1..=destinations {
             harness.submit(1, destination, 0, None);
         }
         harness.run_round();
@@ -185,3 +187,15 @@
     assert_eq!(harness.host.failures.len(), 1 + 4, "one is shed for each packet above the threshold of 60");
     assert!(harness.now >= ms(5000));
 }
+
+/// Guards against expirations of completed packets that stay until their time: they take memory and cause rounds.
+#[test]
+fn completed_packets_leave_no_expiration_behind() {
+    let mut harness = Harness::new(settings(), 1, 0, 0.0);
+    harness.submit(6, 0, 0, None);
+    harness.run_round();
+    harness.complete_all(Outcome::Done);
+    harness.host.wake_after = None;
+    harness.advance(5000); // past the wake that was requested while the calls were in flight
+    assert_eq!((harness.host.in_flight.len(), harness.host.wake_after), (0, None));
+}
