Clients: input is processed in turns with a share each, and each has memory for a command

Cause: every connection processed 64 commands at a time, and as many such batches as its socket gave, before any other task ran: 300 connections are 19,000 commands before a round. Once that is mended, a second one shows: clients at full speed hold all chunks of input, so that a usual client's command finds no memory (0.82 s, by chance); and a closed connection was read at full speed for 0.2 s. The first chunk of each connection is reserved (memory_budget). A connection reads a chunk at a time unless a command lacks more.

--- a/crates/sailcart-sender/src/client_input.rs
+++ b/crates/sailcart-sender/src/client_input.rs
@@ -4,8 +4,10 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
+use sailcart::memory_budget::chunks_for_input;
+
 /// Size of a chunk, in bytes.
-const CHUNK_BYTES: usize = 4096;
+pub const CHUNK_BYTES: usize = 4096;
 /// Least number of chunks: a command of the largest size and one read.
 const MIN_CHUNKS: u64 = 32;
 /// Number of unused chunks that are kept for reuse.
@@ -18,6 +20,8 @@
     free: RefCell<Vec<Chunk>>,
     /// Number of chunks in use.
     used: Cell<usize>,
+    /// Number of connections that have any in use.
+    holders: Cell<usize>,
     max_chunks: usize,
 }
 
@@ -25,7 +29,7 @@
     /// A pool whose chunks, in use or kept for reuse, take up to `max_bytes`.
     pub fn new(max_bytes: u64) -> Self {
         let max_chunks = (max_bytes / CHUNK_BYTES as u64).max(MIN_CHUNKS) as usize;
-        ChunkPool { free: RefCell::default(), used: Cell::new(0), max_chunks }
+        ChunkPool { free: RefCell::default(), used: Cell::new(0), holders: Cell::new(0), max_chunks }
     }
 
     /// Bytes of the chunks in use.
@@ -33,9 +37,12 @@
         self.used.get() * CHUNK_BYTES
     }
 
-    /// Whether one connection can store so many more bytes.
-    pub fn has_room(&self, bytes: usize) -> bool {
-        self.max_chunks - self.used.get() >= bytes.div_ceil(CHUNK_BYTES)
+    /// Number of bytes that a connection with this input may store in addition, of so many connections that are open.
+    pub fn room_for(&self, input: &PendingInput, open_connections: usize) -> usize {
+        let (free, has_input) = (self.max_chunks - self.used.get(), !input.is_empty());
+        let others = open_connections.saturating_sub(self.holders.get() + usize::from(!has_input));
+        let chunks = chunks_for_input(free, self.max_chunks, others, has_input);
+        input.chunks.len() * CHUNK_BYTES - input.length + chunks * CHUNK_BYTES
     }
 
     fn take(&self) -> Option<Chunk> {
@@ -101,6 +108,11 @@
         self.length >= self.parseable_length
     }
 
+    /// The least number of bytes without which no command is complete.
+    pub fn missing_bytes(&self) -> usize {
+        self.parseable_length.saturating_sub(self.length)
+    }
+
     /// Records that a command is complete only with so many more bytes.
     pub fn expect_more(&mut self, missing: usize) {
         self.parseable_length = self.length + missing.max(1);
@@ -119,6 +131,9 @@
             let offset = self.length % CHUNK_BYTES;
             if offset == 0 {
                 let Some(chunk) = pool.take() else { break };
+                if self.chunks.is_empty() {
+                    pool.holders.set(pool.holders.get() + 1);
+                }
                 self.chunks.push(chunk);
             }
             let Some(chunk) = self.chunks.last_mut() else { break };
@@ -149,6 +164,9 @@
 
     /// Removes all input.
     pub fn clear(&mut self, pool: &ChunkPool) {
+        if !self.chunks.is_empty() {
+            pool.holders.set(pool.holders.get() - 1);
+        }
         pool.put_back(std::mem::take(&mut self.chunks).into_iter());
         self.length = 0;
         self.parseable_length = 1;
--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -16,9 +16,10 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::client_input::{ChunkPool, PendingInput};
+use crate::client_input::{CHUNK_BYTES, ChunkPool, PendingInput};
 use crate::config::ResourceLimits;
 use crate::exchange::{Exchange, SubmitReply};
+use crate::input_turns::{InputTurn, InputTurns};
 use crate::memory_share::{MemoryShare, Reservation};
 use crate::socket::Socket;
 use crate::wire::resp::{self, Command};
@@ -26,7 +27,8 @@
 /// Bounds the time from a command's first byte to its last, and the time to write a reply. Clients time
 /// out long before that.
 const IO_TIMEOUT: Duration = Duration::from_secs(2);
-/// Number of bytes that are read at once.
+/// Largest number of bytes that are read at once, for a command that lacks as many. Otherwise a chunk is read: input
+/// that has to wait for its turn is better left in the socket.
 const READ_BYTES: usize = 16 * 1024;
 /// Memory for a command that waits for its reply, in addition to a large reply.
 const PENDING_COMMAND_BYTES: usize = 256;
@@ -95,6 +97,8 @@
     chunks: ChunkPool,
     /// Memory for commands that wait for their replies, and for replies that are not written yet.
     replies: MemoryShare,
+    /// When connections process their input.
+    input_turns: InputTurns,
     /// Receives the input of one read.
     read_buffer: RefCell<Box<[u8]>>,
     /// Holds the input of one connection while it is parsed.
@@ -122,6 +126,7 @@
             accept_errors,
             chunks: ChunkPool::new(limits.memory.client_input),
             replies: MemoryShare::new(limits.memory.replies),
+            input_turns: InputTurns::new(),
             read_buffer: RefCell::new(vec![0; READ_BYTES].into()),
             parse_buffer: RefCell::default(),
             discarded: Cell::new(0),
@@ -285,21 +290,30 @@
         replies_sent: &mut u64,
     ) -> ConnectionResult {
         let mut pending = VecDeque::new();
+        let mut malformed = None;
         loop {
-            let malformed = self.start_commands(connection, &mut pending);
-            if let (Some((message, code)), true) = (malformed, pending.is_empty()) {
+            if let (Some(MalformedInput { message, code }), true) = (&malformed, pending.is_empty()) {
                 return send_error(stream, message, code).await;
             }
-            let may_read = malformed.is_none() && self.may_start_command(&pending);
+            let may_start = malformed.is_none() && self.may_start_command(&pending);
+            let has_input = may_start && connection.input.borrow().may_be_complete();
+            let may_read = may_start && !has_input;
+            if has_input {
+                connection.idle_since.set(None);
+            }
             let has_pending = !pending.is_empty();
             let progress = tokio::select! {
-                reply = next_reply(&mut pending, connection), if has_pending => Ok(Some(reply)),
-                read = self.read_more(stream, connection, has_pending), if may_read => read.map(|()| None),
+                reply = next_reply(&mut pending, connection), if has_pending => Progress::Reply(reply),
+                turn = self.input_turns.next(), if has_input => Progress::Turn(turn),
+                read = self.read_more(stream, connection, has_pending), if may_read => Progress::Read(read),
             };
             match progress {
-                Ok(None) => {}
-                Ok(Some(reply)) => write_replies(stream, reply, &mut pending, replies_sent).await?,
-                Err(code) => {
+                Progress::Reply(reply) => write_replies(stream, reply, &mut pending, replies_sent).await?,
+                Progress::Turn(turn) => {
+                    malformed = turn.process(|max| self.start_commands(connection, &mut pending, max));
+                }
+                Progress::Read(Ok(())) => {}
+                Progress::Read(Err(code)) => {
                     // A client may close its side after its last command and still receives all replies.
                     while !pending.is_empty() {
                         let reply = next_reply(&mut pending, connection).await;
@@ -320,35 +334,38 @@
         pending.is_empty() || (pending.len() < MAX_PENDING_COMMANDS && has_memory())
     }
 
-    /// Starts all commands that were received completely. Returns the error message and the code if the input
-    /// is malformed and nothing more can be read.
+    /// Starts up to `max_commands` commands that were received completely. Returns their number and what is
+    /// malformed, if nothing more can be read.
     fn start_commands(
         &self,
         connection: &Connection,
         pending: &mut VecDeque<PendingCommand>,
-    ) -> Option<(&'static str, &'static str)> {
+        max_commands: usize,
+    ) -> (usize, Option<MalformedInput>) {
         let mut input = connection.input.borrow_mut();
-        if input.is_empty() || !input.may_be_complete() || !self.may_start_command(pending) {
-            return None;
-        }
         let mut buffer = self.parse_buffer.borrow_mut();
         input.copy_to(&mut buffer);
-        let (mut used, mut missing) = (0, 0);
+        let (mut used, mut missing, mut started) = (0, 0, 0);
         let mut malformed = None;
-        while used < buffer.len() && self.may_start_command(pending) {
+        while used < buffer.len() && started < max_commands && self.may_start_command(pending) {
             let rest = &buffer[used..];
             match resp::parse_command(rest) {
-                Ok(Some((Command::Malformed(message), _))) => malformed = Some((message, "malformed")),
+                Ok(Some((Command::Malformed(message), _))) => {
+                    malformed = Some(MalformedInput { message, code: "malformed" });
+                }
                 Ok(Some((command, length))) => {
                     connection.idle_since.set(None);
                     connection.command_started_at.set(None);
                     pending.push_back(self.start_command(&command, connection));
                     used += length;
+                    started += 1;
                     continue;
                 }
                 Ok(None) if rest.len() <= resp::MAX_COMMAND_BYTES => missing = resp::missing_bytes(rest),
-                Ok(None) | Err("too large") => malformed = Some(("too large", "oversized")),
-                Err(message) => malformed = Some((message, "malformed")),
+                Ok(None) | Err("too large") => {
+                    malformed = Some(MalformedInput { message: "too large", code: "oversized" });
+                }
+                Err(message) => malformed = Some(MalformedInput { message, code: "malformed" }),
             }
             break;
         }
@@ -358,7 +375,7 @@
         if missing > 0 {
             input.expect_more(missing);
         }
-        malformed
+        (started, malformed)
     }
 
     /// Reads more input. A connection counts as idle, and may be closed by this side, only while no command
@@ -410,15 +427,17 @@
     async fn receive(&self, stream: &Socket, connection: &Connection) -> io::Result<Received> {
         loop {
             stream.readable().await?;
-            if !self.make_room(READ_BYTES) {
-                sleep(MEMORY_RETRY_DELAY).await;
-                continue;
-            }
+            let room = self.make_room(connection);
             if connection.input.borrow().was_discarded() {
                 return Ok(Received::NoMemory);
             }
+            if room == 0 {
+                sleep(MEMORY_RETRY_DELAY).await;
+                continue;
+            }
             let mut buffer = self.read_buffer.borrow_mut();
-            match stream.try_read(&mut buffer) {
+            let length = connection.input.borrow().missing_bytes().clamp(CHUNK_BYTES, READ_BYTES);
+            match stream.try_read(&mut buffer[..room.min(length)]) {
                 Ok(0) => return Ok(Received::End),
                 Ok(length) => {
                     let stored = connection.input.borrow_mut().append(&self.chunks, &buffer[..length]);
@@ -431,15 +450,16 @@
         }
     }
 
-    /// Discards incomplete commands until so many bytes of input can be stored. Returns false if there are too few:
-    /// complete commands that were received are owed their replies, so they are never discarded.
-    fn make_room(&self, bytes: usize) -> bool {
-        while !self.chunks.has_room(bytes) {
-            if !self.discard_incomplete_command() {
-                return false;
+    /// Makes room for more input of a connection, by discarding incomplete commands if there is little. Returns how
+    /// many bytes can be stored, perhaps none: complete commands that were received are owed their replies, so they
+    /// are never discarded.
+    fn make_room(&self, connection: &Connection) -> usize {
+        loop {
+            let room = self.chunks.room_for(&connection.input.borrow(), self.open_connections());
+            if room >= CHUNK_BYTES || !self.discard_incomplete_command() {
+                return room;
             }
         }
-        true
     }
 
     /// Discards the incomplete command that the policy chooses; false if there is none.
@@ -480,6 +500,23 @@
     }
 }
 
+/// What happened on a client's connection.
+enum Progress<'a> {
+    /// The reply to the first pending command is known.
+    Reply(Reply),
+    /// Input may be processed.
+    Turn(InputTurn<'a>),
+    /// Input was received, or none can be.
+    Read(Result<(), &'static str>),
+}
+
+/// Input that cannot be read as a command.
+struct MalformedInput {
+    message: &'static str,
+    /// The code of the reason why the connection ends.
+    code: &'static str,
+}
+
 /// What was received on a client's connection.
 enum Received {
     /// Input, which was stored.
@@ -591,7 +628,9 @@
     }
     let closed = async {
         stream.shutdown().await?;
-        while stream.read(&mut [0; 4096]).await? > 0 {}
+        while stream.read(&mut [0; 4096]).await? > 0 {
+            yield_now().await; // a client that goes on sending keeps nobody else waiting
+        }
         io::Result::Ok(())
     };
     let _ = timeout(LINGER_TIMEOUT, closed).await;
--- a/crates/sailcart-sender/src/exchange/confirmation.rs
+++ b/crates/sailcart-sender/src/exchange/confirmation.rs
@@ -127,7 +127,9 @@
 
     /// Withdraws the notices of deliveries that were confirmed.
     pub(super) fn confirm_deliveries(&mut self, ids: &[PacketId]) {
-        self.unconfirmed.retain(|id, _| !ids.contains(id));
+        for id in ids {
+            self.unconfirmed.remove(id);
+        }
         self.ledger.withdraw_notices_at_deadline(ids);
         self.unacknowledged.remove(ids);
     }
--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod endpoint_connection;
 pub mod endpoints;
 pub mod exchange;
+pub mod input_turns;
 pub mod inspect;
 pub mod life;
 pub mod local_errors;
--- a/crates/sailcart-sender/src/memory/unacknowledged.rs
+++ b/crates/sailcart-sender/src/memory/unacknowledged.rs
@@ -13,24 +13,31 @@
     /// From the previous process. The journal does not store their keys, so each may precede any packet.
     without_key: BTreeSet<PacketId>,
     keys: BTreeMap<PacketId, KeyId>,
+    /// The same packets by key.
+    by_key: BTreeSet<(KeyId, PacketId)>,
 }
 
 impl UnacknowledgedNotices {
     /// Starts with the notices that a previous process left pending.
     pub fn new(recovered: impl Iterator<Item = PacketId>) -> Self {
-        UnacknowledgedNotices { without_key: recovered.collect(), keys: BTreeMap::new() }
+        UnacknowledgedNotices { without_key: recovered.collect(), ..Self::default() }
     }
 
     /// Records that a notice is pending for a packet with this key.
     pub fn insert(&mut self, number: PacketId, key: KeyId) {
-        self.keys.insert(number, key);
+        if let Some(previous) = self.keys.insert(number, key) {
+            self.by_key.remove(&(previous, number));
+        }
+        self.by_key.insert((key, number));
     }
 
     /// Records that the platform has acknowledged the notices of these packets.
     pub fn remove(&mut self, numbers: &[PacketId]) {
         for number in numbers {
             self.without_key.remove(number);
-            self.keys.remove(number);
+            if let Some(key) = self.keys.remove(number) {
+                self.by_key.remove(&(key, *number));
+            }
         }
     }
 
@@ -43,6 +50,6 @@
     /// key.
     pub fn any_before(&self, number: PacketId, key: KeyId) -> bool {
         self.without_key.range(..number).next().is_some()
-            || self.keys.range(..number).any(|(_, other)| *other == key)
+            || self.by_key.range((key, PacketId(0))..(key, number)).next().is_some()
     }
 }
--- a/crates/sailcart-sender/src/platform/notices.rs
+++ b/crates/sailcart-sender/src/platform/notices.rs
@@ -83,7 +83,10 @@
     /// Releases the notices of a call that has completed: they are acknowledged, or available for another
     /// call.
     fn release(&self, numbers: &[PacketId]) {
-        self.in_flight.borrow_mut().retain(|number| !numbers.contains(number));
+        let mut in_flight = self.in_flight.borrow_mut();
+        for number in numbers {
+            in_flight.remove(number);
+        }
     }
 }
 
--- a/crates/sailcart-sender/tests/common/harness.rs
+++ b/crates/sailcart-sender/tests/common/harness.rs
@@ -33,6 +33,8 @@
     pub received_ids: Arc<Mutex<Vec<String>>>,
     /// If set, the sender is started with fault injection under this control page.
     pub control_page: Option<Arc<ControlPage>>,
+    /// The level of the sender's log from its next start on.
+    pub log_level: &'static str,
 }
 
 impl Harness {
@@ -74,6 +76,7 @@
             endpoint_address,
             received_ids,
             control_page: None,
+            log_level: "debug",
         };
         harness.start();
         // The sender must have the first list before a test changes the list or discovery.
@@ -93,7 +96,7 @@
             .arg("serve")
             .arg("--config")
             .arg(file)
-            .env("RUST_LOG", "debug")
+            .env("RUST_LOG", self.log_level)
             .stderr(log.expect("open the log"));
         if let Some(page) = &self.control_page {
             command.envs(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decides which packet is dispatched to which endpoint of an outside receiver, and when.
 //!
 //! [`control`] makes every decision, with [`response_matching`] and [`response_doubt`] for responses that may
-//! belong to another call, and [`memory_budget`] for the shares of the memory. [`host`] is the interface between them and the program that carries the packets.
+//! belong to another call, [`memory_budget`] for the shares of the memory, and [`input_share`] for that of the
+//! clients' input in the work of the process. [`host`] is the interface between them and the program that carries the packets.
 //! The other modules hold data and decide nothing: the destination list (`listing`), the state
 //! of destinations, endpoints and calls (`state`), held packets, calls in flight and ordering keys with their indexes
 //! (`held_packets`, `calls_in_flight`, `key_queues`), the destinations that compete for slots (`slot_candidates`), the phases of a round (`round_phase`), a map that counts its accesses (`counting_map`), a token
@@ -13,6 +14,7 @@
 mod decaying_counter;
 mod held_packets;
 pub mod host;
+pub mod input_share;
 mod key_queues;
 mod listing;
 pub mod memory_budget;
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -1,5 +1,5 @@
-//! Divides the memory limit of a process among everything that its peers can make it hold, and decides whose input
-//! is discarded when the share of client input is used up.
+//! Divides the memory limit of a process among everything that its peers can make it hold, and decides how
+//! connections share that of client input and whose is discarded when it is used up.
 //!
 //! The shares add up to the limit. Each consumer keeps its own by counting the bytes that it has allocated.
 
@@ -116,6 +116,15 @@
     }
 }
 
+/// How many of the free chunks of input a connection may take, if so many of all chunks are free. The first chunk of
+/// each connection is reserved for it, in at most half of all chunks: clients that send at full speed leave others
+/// the memory for a command.
+pub fn chunks_for_input(free: usize, total: usize, others_without_input: usize, has_input: bool) -> usize {
+    let reserved = others_without_input.min(total / 2);
+    let unreserved = free.saturating_sub(reserved);
+    if has_input { unreserved } else { unreserved.max(free.min(1)) }
+}
+
 /// Whose incomplete command is discarded when its memory is needed: the client's that has sent nothing for the
 /// longest time. Each candidate has the time for which it has sent nothing.
 pub fn input_to_discard<Id>(candidates: impl Iterator<Item = (Id, Duration)>) -> Option<Id> {
