--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,16 @@
 //! Decides which packet is dispatched to which endpoint of an outside receiver, and when.
 //!
-//! [`control`] makes every decision, with [`response_matching`] and [`response_doubt`] for responses that may
-//! belong to another call, [`memory_budget`] for the shares of the memory, and [`input_share`] for that of the
-//! clients' input in the work of the process. [`host`] is the interface between them and the program that carries the packets.
-//! The other modules hold data and decide nothing: the destination list (`listing`), the state
-//! of destinations, endpoints and calls (`state`), held packets, calls in flight and ordering keys with their indexes
-//! (`held_packets`, `calls_in_flight`, `key_queues`), the destinations that compete for slots (`slot_candidates`), the phases of a round (`round_phase`), a map that counts its accesses (`counting_map`), a token
-//! bucket (`token_bucket`) and an exponentially decaying counter (`decaying_counter`).
+//! The decisions:
+//! - [`control`] decides about packets, with `upstream` for what is learned about one upstream and `parameters` for
+//!   the values derived from the settings;
+//! - [`response_matching`] and [`response_doubt`] decide about responses that may belong to another call;
+//! - [`memory_budget`] divides the memory, and [`input_share`] the time for the input of clients.
+//!
+//! [`host`] is the interface between them and the program that carries the packets. The other modules hold data and
+//! decide nothing: the destination list (`listing`), destinations, endpoints and calls (`state`), held packets, calls
+//! in flight and ordering keys with their indexes (`held_packets`, `calls_in_flight`, `key_queues`), the destinations
+//! that compete for slots (`slot_candidates`), the phases of a round (`round_phase`), a map that counts its accesses
+//! (`counting_map`), a token bucket (`token_bucket`) and an exponentially decaying counter (`decaying_counter`).
 
 mod calls_in_flight;
 pub mod control;
@@ -18,12 +22,14 @@
 mod key_queues;
 mod listing;
 pub mod memory_budget;
+mod parameters;
 pub mod response_doubt;
 pub mod response_matching;
 pub mod round_phase;
 mod slot_candidates;
 mod state;
 mod token_bucket;
+mod upstream;
 
 pub use control::Sender;
 pub use host::*;
