--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 mod counting_map;
 mod decaying_counter;
+mod departed_endpoints;
 mod held_packets;
 pub mod host;
 pub mod input_share;
@@ -30,6 +31,7 @@
 mod state;
 mod token_bucket;
 mod upstream;
+mod upstreams;
 
 pub use control::Sender;
 pub use host::*;
