--- a/crates/sailcart-drill/src/instance.rs
+++ b/crates/sailcart-drill/src/instance.rs
@@ -5,7 +5,7 @@
 
 use sailcart::{
     CategoryId, CustomerId, DestinationId, EndpointId, Host, KeyId, KindId, ListEntry, Outcome, Packet,
-    PacketId, RouteId, Sender,
+    PacketId, Sender,
 };
 use sailcart_terms::{Names, ValueError, read_milliseconds, read_number, read_text};
 use serde_json::{Value, json};
@@ -119,10 +119,8 @@
     ) -> Result<(), ValueError> {
         let mut list_entries = Vec::with_capacity(entries.len());
         for entry in entries {
-            let endpoint = self.ids.endpoint(&entry.endpoint);
             list_entries.push(ListEntry {
-                endpoint,
-                route: RouteId(endpoint.0.into()),
+                endpoint: self.ids.endpoint(&entry.endpoint),
                 destination: DestinationId(entry.destination),
                 kind: KindId(position(&self.names.kinds, &entry.kind, "type")?),
                 live: entry.live,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod control;
 mod counting_map;
 mod decaying_counter;
-mod departed_endpoints;
 mod held_packets;
 pub mod host;
 pub mod input_share;
@@ -31,7 +30,6 @@
 mod state;
 mod token_bucket;
 mod upstream;
-mod upstreams;
 
 pub use control::Sender;
 pub use host::*;
