Clients: a connection whose input waits for its turn is not closed as idle

Cause: since reading takes a turn, and a connection that waited for it still counted as idle, so a stop or an eviction closed it; before, what had arrived was read first. Change: such a connection waits for its read before it is closed as idle, and is not chosen for eviction.

--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -75,6 +75,20 @@
     input: RefCell<PendingInput>,
     /// Signalled when the input was discarded.
     input_discarded: Notify,
+    /// Something may have arrived that waits for its turn to be read.
+    has_unread_input: Cell<bool>,
+    /// Signalled when it was read, or nothing had arrived.
+    unread_input_checked: Notify,
+}
+
+impl Connection {
+    /// Waits until whatever has arrived was read.
+    async fn nothing_unread(&self) {
+        yield_now().await; // what has arrived by now is noticed first
+        while self.has_unread_input.get() {
+            self.unread_input_checked.notified().await;
+        }
+    }
 }
 
 /// The client connections of a sender.
@@ -217,8 +231,10 @@
             let connections = self.connections.borrow().values().cloned().collect::<Vec<_>>();
             // While many are closing, this waits for them: another one would only join them.
             let may_evict = self.closing_count.get() < MAX_UNCOUNTED_CLOSING;
-            let idle =
-                connections.iter().filter(|candidate| may_evict && candidate.idle_since.get().is_some());
+            let is_idle = |candidate: &&Rc<Connection>| {
+                candidate.idle_since.get().is_some() && !candidate.has_unread_input.get()
+            };
+            let idle = connections.iter().filter(|candidate| may_evict && is_idle(candidate));
             if let Some(oldest) =
                 idle.min_by_key(|candidate| (!candidate.has_received.get(), candidate.idle_since.get()))
             {
@@ -249,6 +265,8 @@
             close_requested,
             input: RefCell::default(),
             input_discarded: Notify::new(),
+            has_unread_input: Cell::new(false),
+            unread_input_checked: Notify::new(),
         });
         let number = self.next_number.replace(self.next_number.get() + 1);
         self.connections.borrow_mut().insert(number, connection.clone());
@@ -395,6 +413,7 @@
         connection.command_started_at.set(in_command.then_some(started_at));
         let idle = !in_command && !has_pending;
         connection.idle_since.set(idle.then(Instant::now));
+        connection.has_unread_input.set(false);
         let closed_by_us = async {
             if !self.stopping.get() {
                 connection.close_requested.notified().await;
@@ -402,8 +421,7 @@
             if self.stopping.get() && !connection.has_received.get() {
                 sleep_until((connection.opened_at + FIRST_COMMAND_GRACE).into()).await;
             }
-            // Input that has arrived by now is read first.
-            yield_now().await;
+            connection.nothing_unread().await;
         };
         let read = tokio::select! {
             biased;
@@ -434,13 +452,17 @@
     ) -> io::Result<(Received, InputTurn<'_>)> {
         loop {
             stream.readable().await?;
+            connection.has_unread_input.set(true);
             let mut turn = self.input_turns.next().await;
             match turn.process(|_| (1, self.receive_now(stream, connection))) {
                 Ok(Received::NoRoom) => {
                     drop(turn);
                     sleep(MEMORY_RETRY_DELAY).await;
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    connection.has_unread_input.set(false);
+                    connection.unread_input_checked.notify_one();
+                }
                 received => return received.map(|received| (received, turn)),
             }
         }
--- a/crates/sailcart-sender/tests/flooding_clients.rs
+++ b/crates/sailcart-sender/tests/flooding_clients.rs
@@ -303,3 +303,52 @@
         }
     });
 }
+
+/// Guards against a command that has arrived and waits for its turn when the sender stops: it is read and answered.
+#[test]
+fn commands_that_wait_for_their_turn_at_a_stop_are_answered() {
+    const WAITING: usize = 80;
+    const STEP: Duration = Duration::from_millis(10);
+    let _alone = FLOODS.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut harness = Harness::new("stop-in-a-flood", |_, _| http_response("200 OK", "", ""));
+    harness.log_level = "info";
+    harness.restart_with(&[]);
+    let sender = harness.listen_address;
+    let connect = |_| TcpStream::connect(sender).expect("connect to the sender");
+    let mut waiting: Vec<TcpStream> = (0..WAITING).map(connect).collect();
+    let mut silent = connect(0);
+    let commands: &Commands = &|client, number| put(&format!("s{client}-{number}"), "notice", "acme", 7);
+    let flooders: Vec<Flooder> = (0..300).map(|client| Flooder::new(client, commands, sender)).collect();
+    let until = Instant::now() + Duration::from_secs(3);
+    thread::scope(|scope| {
+        scope.spawn(move || run_flooders(flooders, sender, until));
+        sleep(SETTLED_AFTER);
+        harness.signal("-TERM");
+        let closed = scope.spawn(move || {
+            let _ = silent.read(&mut [0; 1]);
+            Instant::now()
+        });
+        let written_at: Vec<Instant> = waiting
+            .iter_mut()
+            .map(|stream| {
+                // Writing to a connection that the sender has closed may fail.
+                let _ = stream.write_all(b"*1\r\n$4\r\nPING\r\n");
+                let now = Instant::now();
+                sleep(STEP);
+                now
+            })
+            .collect();
+        let closed_at = closed.join().expect("no panic");
+        let mut unanswered = Vec::new();
+        for (stream, written_at) in waiting.iter_mut().zip(written_at) {
+            stream.set_read_timeout(Some(Duration::from_secs(3))).expect("set the read timeout");
+            let is_answered = stream.read(&mut [0; 64]).is_ok_and(|length| length > 0);
+            let before_close = closed_at.saturating_duration_since(written_at);
+            if !is_answered && before_close > STEP {
+                unanswered.push(before_close);
+            }
+        }
+        assert!(unanswered.is_empty(), "closed unanswered, written so long before: {unanswered:?}");
+    });
+    harness.wait_for_exit();
+}
