Listed destinations: the route is stored only where it has limits of its own

Change: DestinationList keeps routes apart, for endpoints whose kind has limits of its own. Measured: the test is green; learned_state, which needs the routes, is green.

--- a/src/control.rs
+++ b/src/control.rs
@@ -247,7 +247,8 @@
             self.cleanup_candidates.extend(self.destinations.keys());
         }
         for entry in entries {
-            self.destination_list.apply(entry);
+            let has_own_limits = self.parameters.settings.kinds[entry.kind.0].per_route_limits;
+            self.destination_list.apply(entry, has_own_limits);
             if self.destinations.contains_key(&entry.destination) {
                 self.cleanup_candidates.insert(entry.destination);
                 self.apply_entry(entry);
--- a/src/host.rs
+++ b/src/host.rs
@@ -9,7 +9,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {
         $($(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);)*
     };
 }
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -15,7 +15,6 @@
     rate: f64,
     id: EndpointId,
     kind: u32,
-    route: RouteId,
 }
 
 /// The live endpoints of a destination, the most recently listed one last. Most destinations have one.
@@ -60,6 +59,8 @@
 #[derive(Default)]
 pub struct DestinationList {
     destinations: BTreeMap<DestinationId, ListedDestination>,
+    /// The routes of those endpoints that have limits of their own. No other needs its route.
+    routes: BTreeMap<EndpointId, RouteId>,
     visited: Cell<u64>,
 }
 
@@ -82,13 +83,20 @@
     /// Removes all entries, before a full snapshot is applied.
     pub fn clear(&mut self) {
         self.destinations.clear();
+        self.routes.clear();
     }
 
-    /// Applies an entry: a live endpoint is put last in its destination, any other is removed.
-    pub fn apply(&mut self, entry: &ListEntry) {
+    /// Applies an entry: a live endpoint is put last in its destination, any other is removed. Its route is stored if
+    /// it has limits of its own.
+    pub fn apply(&mut self, entry: &ListEntry, has_own_limits: bool) {
         self.count_visit();
+        if entry.live && has_own_limits {
+            self.routes.insert(entry.endpoint, entry.route);
+        } else {
+            self.routes.remove(&entry.endpoint);
+        }
         let kind = u32::try_from(entry.kind.0).unwrap_or(u32::MAX);
-        let endpoint = ListedEndpoint { rate: entry.rate, id: entry.endpoint, kind, route: entry.route };
+        let endpoint = ListedEndpoint { rate: entry.rate, id: entry.endpoint, kind };
         match self.destinations.entry(entry.destination) {
             Entry::Occupied(mut destination) if entry.live => destination.get_mut().push(endpoint),
             Entry::Occupied(mut destination) => {
@@ -107,13 +115,14 @@
     pub fn entries(&self, id: DestinationId) -> Vec<ListEntry> {
         self.count_visit();
         let endpoints = self.destinations.get(&id).into_iter().flat_map(ListedDestination::endpoints);
-        endpoints.map(|endpoint| endpoint.entry(id)).collect()
+        let route = |endpoint: &ListedEndpoint| self.routes.get(&endpoint.id).copied();
+        endpoints.map(|endpoint| endpoint.entry(id, route(endpoint).unwrap_or_default())).collect()
     }
 }
 
 impl ListedEndpoint {
-    fn entry(&self, destination: DestinationId) -> ListEntry {
+    fn entry(&self, destination: DestinationId, route: RouteId) -> ListEntry {
         let kind = KindId(self.kind as usize);
-        ListEntry { endpoint: self.id, route: self.route, destination, kind, live: true, rate: self.rate }
+        ListEntry { endpoint: self.id, route, destination, kind, live: true, rate: self.rate }
     }
 }
