--- a/crates/sailcart-sender/tests/flooding_clients.rs
+++ b/crates/sailcart-sender/tests/flooding_clients.rs
@@ -23,8 +23,7 @@
 /// Packets whose ends are watched during a flood, and how far their times are apart.
 const WATCHED_PACKETS: u64 = 8;
 const WATCHED_INTERVAL: Duration = Duration::from_millis(250);
-/// From then on the memory may not grow, but by what allocators do by chance and a chunk of input for each client, which
-/// it takes when a command of its lies in two of them for the first time.
+/// From then on the memory grows by chance only, and by a second chunk of input for each client.
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
 const MAX_CHANCE_GROWTH: u64 = 1_000_000;
 const CHUNK_BYTES: u64 = 4096;
@@ -76,8 +75,7 @@
         }
     }
 
-    /// Writes and reads what can be without waiting, and connects again if the connection was closed. Returns
-    /// whether anything happened.
+    /// Writes, reads and reconnects without waiting; returns whether anything happened.
     fn act(&mut self, sender: SocketAddr, buffer: &mut [u8]) -> bool {
         if self.stream.is_none() {
             self.unsent.clear();
--- a/crates/sailcart-sender/tests/peer_memory.rs
+++ b/crates/sailcart-sender/tests/peer_memory.rs
@@ -136,8 +136,7 @@
     longest
 }
 
-/// Plays bad clients of some kinds beside bad endpoints and discovery. Returns the most memory and the usual client's
-/// longest wait.
+/// Plays bad clients and peers; returns the most memory and the usual client's longest wait.
 fn play(scenario: &str, memory_mb: u64, behaviours: &[Behaviour]) -> (u64, Duration) {
     let mut harness = Harness::new(scenario, |_, _| http_response("200 OK", "", ""));
     harness.log_level = "info";
--- a/tests/shedding.rs
+++ b/tests/shedding.rs
@@ -23,8 +23,7 @@
     deadline: Duration,
 }
 
-/// The victims by definition: each from the destination with the most packets that are not restored, the highest
-/// number among equals; there restored ones last, then those within the quota, then by deadline and number.
+/// The victims by definition: from the fullest destination, over quota, then by deadline, then by number.
 fn expected_victims(mut held: BTreeMap<u64, HeldPacket>, in_flight: usize, threshold: usize) -> Vec<u64> {
     let mut victims = Vec::new();
     while held.len() + in_flight > threshold {
