Clients: input that waits to be read is no silence when memory for input is used up

What callers saw: a client that had sent its command at once got -ERR crowded and a close, beside some hundred clients that stopped inside large commands.

Cause: since input is read in turns, the time since the last read counts the wait for a turn. Where all clients wait, the most silent one was the next in the queue, so discards ran ahead of the queue into whoever came next, whatever it had sent.

Change (policy: memory_budget::input_to_discard): silence is zero while input waits to be read; a pause under 100 ms counts as none; of those clients the one that began its command first loses it.

--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sailcart::memory_budget::input_to_discard;
+use sailcart::memory_budget::{IncompleteCommand, input_to_discard};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -82,6 +82,14 @@
 }
 
 impl Connection {
+    /// The command of which a part has been received.
+    fn incomplete_command(&self) -> IncompleteCommand<&Self> {
+        let silent_for =
+            if self.has_unread_input.get() { Duration::ZERO } else { self.input.borrow().silent_for() };
+        let received_for = self.command_started_at.get().map_or(Duration::ZERO, |start| start.elapsed());
+        IncompleteCommand { id: self, silent_for, received_for }
+    }
+
     /// Waits until whatever has arrived was read.
     async fn nothing_unread(&self) {
         yield_now().await; // what has arrived by now is noticed first
@@ -398,8 +406,8 @@
         (started, malformed)
     }
 
-    /// Reads more input, and returns the turn in which it may be processed. A connection counts as idle, and may be closed by this side, only while no command
-    /// is being received and none waits for its reply.
+    /// Reads more input, and returns the turn in which it may be processed. A connection counts as idle, and may be
+    /// closed by this side, only while no command is being received and none waits for its reply.
     async fn read_more(
         &self,
         stream: &mut Socket,
@@ -507,7 +515,7 @@
             let input = candidate.input.borrow();
             !input.is_empty() && !input.may_be_complete()
         });
-        let candidates = incomplete.map(|candidate| (candidate, candidate.input.borrow().silent_for()));
+        let candidates = incomplete.map(|candidate| candidate.incomplete_command());
         let Some(chosen) = input_to_discard(candidates) else { return false };
         chosen.input.borrow_mut().discard(&self.chunks);
         chosen.input_discarded.notify_one();
--- a/crates/sailcart-sender/tests/client_memory.rs
+++ b/crates/sailcart-sender/tests/client_memory.rs
@@ -152,3 +152,27 @@
     assert!(harness.log().contains("code=crowded"), "the memory was not used up");
     drop(stopping);
 }
+
+// Guards against a command that was sent at once being discarded because its input waits for its turn to be read.
+#[test]
+fn a_command_that_was_sent_at_once_is_not_discarded_for_clients_that_stop_inside_theirs() {
+    let harness = start_sender("sent-at-once");
+    let sender = harness.listen_address;
+    let connect = || TcpStream::connect(sender).expect("connect to the sender");
+    let mut stopping: Vec<TcpStream> = (0..CLIENTS).map(|_| connect()).collect();
+    let mut usual = connect();
+    assert_eq!(harness.submit("before"), "+OK");
+    // While the process stands still, all input arrives: it is read in many turns, and there is memory for a part of it.
+    harness.signal("-STOP");
+    let large = submit_command("large", "c=notice,t=acme,d=8000,k=a,dest=7", &"x".repeat(MAX_BODY_BYTES));
+    stopping.iter_mut().for_each(|stream| {
+        stream.write_all(&large.as_bytes()[..60_000]).expect("the command is written");
+    });
+    usual.write_all(large.as_bytes()).expect("the command is written");
+    harness.signal("-CONT");
+    usual.set_read_timeout(Some(ERROR_TIMEOUT)).expect("set the read timeout");
+    let mut reply = [0; 5];
+    usual.read_exact(&mut reply).expect("the sender replies");
+    assert_eq!(&reply, b"+OK\r\n");
+    assert!(harness.log().contains("code=crowded"), "the memory was not used up");
+}
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -125,8 +125,26 @@
     if has_input { unreserved } else { unreserved.max(free.min(1)) }
 }
 
-/// Whose incomplete command is discarded when its memory is needed: the client's that has sent nothing for the
-/// longest time. Each candidate has the time for which it has sent nothing.
-pub fn input_to_discard<Id>(candidates: impl Iterator<Item = (Id, Duration)>) -> Option<Id> {
-    candidates.max_by_key(|(_, silent_for)| *silent_for).map(|(id, _)| id)
+/// A pause in a client's input that the network or a busy machine may cause.
+const INPUT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A command of which a client has sent only a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IncompleteCommand<Id> {
+    /// The connection.
+    pub id: Id,
+    /// How long the client has sent nothing: zero while something that it has sent waits to be read.
+    pub silent_for: Duration,
+    /// Time since the first byte of the command.
+    pub received_for: Duration,
+}
+
+/// Whose incomplete command is discarded when its memory is needed: that of the client that has sent nothing for the
+/// longest time. Of clients that have hardly paused, it is the one that has been sending its command for the longest
+/// time: how long their input waits to be read depends on the sender, not on them.
+pub fn input_to_discard<Id>(candidates: impl Iterator<Item = IncompleteCommand<Id>>) -> Option<Id> {
+    let order = |command: &IncompleteCommand<Id>| {
+        (command.silent_for.saturating_sub(INPUT_PAUSE), command.received_for)
+    };
+    candidates.max_by_key(order).map(|command| command.id)
 }
