The list in force is recorded in the state folder, and a restart begins with it

Cause: nothing of the lists in force outlived the process; a start went by the list of the configuration, however old.

Change: the changes since the configured list are recorded in a store of their own (subfolder list, a sixteenth of the folder, no descriptor kept open), in the step in which they take effect. A start takes the newer of the two (policy: starting_list.rs). A record that is damaged or of another discovery is discarded with a coded line; a failing folder makes the record old, not the sender stop.

--- a/crates/sailcart-sender/src/config/known_list.rs
+++ b/crates/sailcart-sender/src/config/known_list.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::ops::Range;
 
+use sailcart::starting_list::ConfiguredList;
 use sailcart_terms::ValueError;
 use serde::de::{Deserializer, MapAccess, Visitor};
 use serde_json::value::RawValue;
@@ -49,6 +50,15 @@
         self.summary
     }
 
+    /// Identifies the list for a process that starts later.
+    pub fn identity(&self) -> ConfiguredList {
+        let checksum = self.pieces().fold(crc32fast::Hasher::new(), |mut hasher, piece| {
+            hasher.update(piece);
+            hasher
+        });
+        ConfiguredList { version: self.summary.version, checksum: checksum.finalize() }
+    }
+
     /// Parses the list again and returns its entries, one piece of the text at a time.
     pub fn entries(&self) -> impl Iterator<Item = Entry> {
         let mut reader = ListReader::without_warnings();
--- a/crates/sailcart-sender/src/config/mod.rs
+++ b/crates/sailcart-sender/src/config/mod.rs
@@ -55,8 +55,10 @@
     pub max_clients: usize,
     /// Maximum number of idle connections to endpoints.
     pub max_idle_connections: usize,
-    /// Maximum size of the state folder, in bytes.
+    /// Maximum size of the journal, in bytes.
     pub max_journal_bytes: u64,
+    /// Maximum size of the record of the list in force, in bytes.
+    pub max_list_record_bytes: u64,
     /// Number of completed packets whose ids are remembered.
     pub max_completed_ids: usize,
     /// Maximum number of endpoints in a list from discovery. A list with more is rejected.
@@ -68,8 +70,8 @@
 }
 
 /// File descriptors for everything except clients and endpoints: the standard streams, the poll, signals, the
-/// listener, ten files of the journal, the connection to discovery (two while one replaces the other), four
-/// connections for notices, and a configuration that is being read.
+/// listener, ten files of the journal, one of the record of the list in force, the connection to discovery (two
+/// while one replaces the other), four connections for notices, and a configuration that is being read.
 const RESERVED_DESCRIPTORS: usize = 32;
 const BYTES_PER_MB: f64 = 1e6;
 /// Memory for the remembered id of a completed packet, with its overhead, in bytes.
@@ -223,6 +225,7 @@
         max_clients: available - available / 4,
         max_idle_connections: available / 4,
         max_journal_bytes: memory.journal,
+        max_list_record_bytes: memory.list_record_files(),
         max_completed_ids: (memory.completed_ids / BYTES_PER_COMPLETED_ID) as usize,
         max_listed_endpoints: (memory.lists / BYTES_PER_LISTED_ENDPOINT) as usize,
         memory,
--- a/crates/sailcart-sender/src/exchange/directory/mod.rs
+++ b/crates/sailcart-sender/src/exchange/directory/mod.rs
@@ -106,6 +106,11 @@
         self.slots.get(self.find_name(name)?).map(|slot| slot.endpoint)
     }
 
+    /// The name of the endpoint at a position.
+    pub(super) fn name(&self, position: u32) -> Option<&CompactString> {
+        self.slots.get(position).map(|slot| &slot.name)
+    }
+
     /// Whether a destination is listed or was listed recently. This includes destinations whose endpoints all
     /// drain.
     pub fn knows(&self, destination: DestinationId) -> bool {
--- a/crates/sailcart-sender/src/exchange/lists.rs
+++ b/crates/sailcart-sender/src/exchange/lists.rs
@@ -2,15 +2,18 @@
 //! in steps.
 
 use std::borrow::Borrow;
+use std::net::SocketAddr;
 
 use sailcart::DestinationId;
 use sailcart_store::Files;
+use sailcart_terms::Names;
 use tokio::task::yield_now;
 
 use super::directory::{EndpointEntry, EndpointSpec};
 use super::staged::{ListTooLarge, StagedList};
-use super::update::{Step, Update};
+use super::update::{NamedChange, Step, Update};
 use super::{Exchange, Inner};
+use crate::memory::list_record::{EndpointChange, ListRecord, LiveEndpoint};
 use crate::wire::discovery::Entry;
 
 impl<F: Files> Exchange<F> {
@@ -71,6 +74,35 @@
         self.inner.borrow_mut().host.has_current_list = true;
     }
 
+    /// Records the lists that are put in force from now on.
+    pub fn record_lists(&self, record: ListRecord) {
+        *self.list_record.borrow_mut() = Some(record);
+    }
+
+    /// Records that this version of the list is in force, as served by `discovery`.
+    pub fn record_list_version(&self, version: u64, discovery: SocketAddr) {
+        if let Some(record) = &mut *self.list_record.borrow_mut() {
+            record.record_version(version, discovery);
+        }
+    }
+
+    /// Records changes of the list. They are in force already: a process that is killed before the record was told of
+    /// them only just now.
+    fn record_changes(&self, changes: Vec<NamedChange>, names: &Names) {
+        let Some(record) = &mut *self.list_record.borrow_mut() else { return };
+        let kind_name = |number: u16| {
+            let mut kinds = names.kinds.iter();
+            kinds.find(|(_, kind)| **kind == usize::from(number)).map(|(name, _)| name.clone())
+        };
+        record.record(changes.into_iter().map(|change| {
+            let live = change.live.and_then(|(spec, rate)| {
+                let kind = kind_name(spec.kind)?;
+                Some(LiveEndpoint { address: spec.address, destination: spec.destination.0, kind, rate })
+            });
+            EndpointChange { name: change.name.into(), live }
+        }));
+    }
+
     fn add_entry(&self, staged: &mut StagedList, entry: &Entry) -> Result<(), ListTooLarge> {
         let host = &mut self.inner.borrow_mut().host;
         let kind = host.names.kinds.get(&entry.kind).and_then(|kind| u16::try_from(*kind).ok());
@@ -107,6 +139,7 @@
             Step::Changes(list_entries) => (list_entries, false),
             Step::Last(list_entries) => (list_entries, true),
         };
+        self.record_changes(update.take_changes(), &host.names);
         let removed = list_entries.iter().filter(|list_entry| !list_entry.live);
         host.endpoints_to_close.extend(removed.map(|list_entry| (list_entry.endpoint, "unlisted")));
         sender.update_list(host.clock.now(), false, &list_entries);
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -32,6 +32,7 @@
 use crate::endpoints::Endpoints;
 use crate::memory::Notice;
 use crate::memory::ledger::Ledger;
+use crate::memory::list_record::ListRecord;
 use crate::outgoing::Call;
 
 /// Interval between rounds while journal changes wait to be written.
@@ -55,6 +56,8 @@
     notices_acknowledged: Notify,
     /// Number of rounds that took longer than [`SLOW_ROUND`].
     slow_rounds: Cell<u64>,
+    /// The record of the list in force; `None` if it is not recorded.
+    list_record: RefCell<Option<ListRecord>>,
 }
 
 struct Inner<F: Files> {
@@ -85,6 +88,7 @@
             notices_sent,
             notices_acknowledged,
             slow_rounds: Cell::new(0),
+            list_record: RefCell::default(),
         }
     }
 
--- a/crates/sailcart-sender/src/exchange/update.rs
+++ b/crates/sailcart-sender/src/exchange/update.rs
@@ -3,9 +3,10 @@
 use std::mem;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use sailcart::ListEntry;
 
-use super::directory::Directory;
+use super::directory::{Directory, EndpointSpec};
 use super::staged::{MAX_CHANGES_PER_STEP, StagedEntry, StagedList};
 
 /// How many slots one step searches for endpoints that a full list does not name.
@@ -22,6 +23,20 @@
     Last(Vec<ListEntry>),
 }
 
+/// A change of the directory, by the name of the endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedChange {
+    pub name: CompactString,
+    /// The endpoint and its rate in calls per second; `None` if it drains or is gone.
+    pub live: Option<(EndpointSpec, f64)>,
+}
+
+impl NamedChange {
+    fn removal(name: &CompactString) -> Self {
+        NamedChange { name: name.clone(), live: None }
+    }
+}
+
 /// A staged list that is being applied. Endpoints that it no longer names are removed first; then its entries
 /// are applied in order. If there may be more than [`MAX_CHANGES_PER_STEP`] changes, they are
 /// spread over several steps, and all draining endpoints are removed before live ones are added.
@@ -33,6 +48,8 @@
     unlisted: Vec<u32>,
     /// The changes are spread over several steps.
     in_steps: bool,
+    /// The changes of the steps so far that were not taken.
+    changes: Vec<NamedChange>,
 }
 
 enum Phase {
@@ -50,7 +67,14 @@
         staged.finish_reading();
         let all_named = directory.len() == staged.named_endpoints;
         let start = if full && !all_named { 0 } else { directory.end() };
-        Update { staged, now, phase: Phase::Search(start), unlisted: Vec::new(), in_steps: false }
+        Update {
+            staged,
+            now,
+            phase: Phase::Search(start),
+            unlisted: Vec::new(),
+            in_steps: false,
+            changes: Vec::new(),
+        }
     }
 
     /// Performs the next step. Ends the update early if another list was begun meanwhile.
@@ -91,6 +115,11 @@
         }
     }
 
+    /// Takes the changes of the last steps, in their order.
+    pub fn take_changes(&mut self) -> Vec<NamedChange> {
+        mem::take(&mut self.changes)
+    }
+
     /// Applies all changes in one step.
     fn apply_all(&mut self, directory: &mut Directory) -> Step {
         let mut list_entries = self.remove_unlisted(directory);
@@ -99,9 +128,9 @@
                 directory.mark_destination_named(entry.destination);
             }
             if entry.live {
-                put(entry, directory, &mut list_entries);
+                self.put(entry, directory, &mut list_entries);
             } else {
-                directory.drain(&entry.name, &mut list_entries);
+                self.drain(&entry.name, directory, &mut list_entries);
             }
         }
         self.finish(directory, list_entries)
@@ -112,19 +141,21 @@
         let mut list_entries = Vec::new();
         let remaining = self.unlisted.split_off(self.unlisted.len().min(MAX_CHANGES_PER_STEP));
         for directory_slot in mem::replace(&mut self.unlisted, remaining) {
+            self.changes.extend(directory.name(directory_slot).map(NamedChange::removal));
             directory.remove(directory_slot, &mut list_entries);
         }
         list_entries
     }
 
     /// Removes the draining endpoints of a chunk.
-    fn remove_draining(&self, chunk: usize, directory: &mut Directory) -> Vec<ListEntry> {
+    fn remove_draining(&mut self, chunk: usize, directory: &mut Directory) -> Vec<ListEntry> {
         let mut list_entries = Vec::new();
         for entry in self.staged.chunks.get(chunk).into_iter().flatten() {
             if !entry.live || entry.overridden {
                 directory.mark_destination_named(entry.destination);
             }
-            if !entry.live && !entry.overridden {
+            if !entry.live && !entry.overridden && directory.endpoint(&entry.name).is_some() {
+                self.changes.push(NamedChange::removal(&entry.name));
                 directory.drain(&entry.name, &mut list_entries);
             }
         }
@@ -136,7 +167,7 @@
         let mut list_entries = Vec::new();
         for entry in self.staged.chunks.pop_front().into_iter().flatten() {
             if entry.live && !entry.overridden {
-                put(entry, directory, &mut list_entries);
+                self.put(entry, directory, &mut list_entries);
             }
         }
         if self.staged.chunks.is_empty() {
@@ -153,10 +184,18 @@
         directory.finish_update(self.now, self.staged.max_endpoints);
         Step::Last(list_entries)
     }
-}
 
-fn put(entry: StagedEntry, directory: &mut Directory, list_entries: &mut Vec<ListEntry>) {
-    let (spec, rate) = (entry.spec(), entry.rate);
-    log::debug!("list: {} serves destination {}, {rate} calls/s", spec.address, spec.destination.0);
-    directory.put(entry.name, spec, rate, list_entries);
+    fn put(&mut self, entry: StagedEntry, directory: &mut Directory, list_entries: &mut Vec<ListEntry>) {
+        let (spec, rate) = (entry.spec(), entry.rate);
+        log::debug!("list: {} serves destination {}, {rate} calls/s", spec.address, spec.destination.0);
+        self.changes.push(NamedChange { name: entry.name.clone(), live: Some((spec, rate)) });
+        directory.put(entry.name, spec, rate, list_entries);
+    }
+
+    fn drain(&mut self, name: &CompactString, directory: &mut Directory, list_entries: &mut Vec<ListEntry>) {
+        if directory.endpoint(name).is_some() {
+            self.changes.push(NamedChange::removal(name));
+            directory.drain(name, list_entries);
+        }
+    }
 }
--- a/crates/sailcart-sender/src/life/start.rs
+++ b/crates/sailcart-sender/src/life/start.rs
@@ -15,8 +15,9 @@
 use crate::config::{SenderConfig, Source};
 use crate::endpoints::Endpoints;
 use crate::exchange::Exchange;
+use crate::life::recovery::{self, ListRecordOptions};
 use crate::life::reload::{ReadConfig, ReloadTarget, reload};
-use crate::life::{recovery, stop};
+use crate::life::stop;
 use crate::local_errors;
 use crate::memory::ledger::Ledger;
 use crate::memory::pool::Pool;
@@ -62,17 +63,30 @@
     let exchange = Exchange::new(settings, config.seed, config.names, ledger);
     exchange.limit_unconfirmed_deliveries(limits.memory.unconfirmed_deliveries);
     let exchange = Rc::new(exchange);
-    recovery::recover(&exchange, &known_list);
+    let changes_since = match config.source {
+        Source::Platform(discovery) => {
+            let options = ListRecordOptions {
+                state_folder: &config.state_folder,
+                capacity_bytes: limits.max_list_record_bytes,
+                discovery,
+            };
+            recovery::recover_list(&exchange, &known_list, &options)
+        }
+        Source::Static => {
+            exchange.apply_current_list(known_list.summary().full, known_list.entries());
+            known_list.summary().version
+        }
+    };
+    drop(known_list); // it may be large
+    recovery::recover_packets(&exchange);
     let reload_target = match config.source {
         Source::Platform(discovery) => {
             let (address_sender, address_receiver) = watch::channel(discovery);
             let (first_call_completed, first_call) = oneshot::channel();
-            let (version, schedule) =
-                (known_list.summary().version, PollingSchedule::new(max_list_staleness, config.seed));
-            drop(known_list); // it may be large
+            let schedule = PollingSchedule::new(max_list_staleness, config.seed);
             let follower = platform::Follower::new(
                 address_receiver.clone(),
-                version,
+                changes_since,
                 schedule,
                 limits.max_listed_endpoints,
                 exchange.clone(),
@@ -88,8 +102,6 @@
             ReloadTarget::DiscoveryAddress(address_sender)
         }
         Source::Static => {
-            exchange.apply_current_list(known_list.summary().full, known_list.entries());
-            drop(known_list);
             spawn_local(platform::log_notices(exchange.clone()));
             ReloadTarget::EndpointList(exchange.clone())
         }
--- a/crates/sailcart-sender/src/memory/mod.rs
+++ b/crates/sailcart-sender/src/memory/mod.rs
@@ -1,9 +1,11 @@
 //! The state that the sender holds between rounds: accepted packets and pending notices with their journal in
-//! the state folder, scheduled rounds, and idle connections to endpoints.
+//! the state folder, the record of the list in force, scheduled rounds, and idle connections to endpoints.
 
 pub mod backlog;
+pub mod closed_files;
 pub mod format1;
 pub mod ledger;
+pub mod list_record;
 pub mod moment;
 pub mod pool;
 pub mod records;
--- a/crates/sailcart-sender/src/platform/follower.rs
+++ b/crates/sailcart-sender/src/platform/follower.rs
@@ -151,6 +151,8 @@
     logged_error: Option<io::ErrorKind>,
     /// The list is too large, and this has been logged.
     logged_too_large: bool,
+    /// A call has returned a list or update, perhaps an empty one.
+    has_succeeded: bool,
 }
 
 impl Follower {
@@ -178,6 +180,7 @@
             full_list_at: None,
             logged_error: None,
             logged_too_large: false,
+            has_succeeded: false,
         }
     }
 
@@ -229,8 +232,11 @@
         exchange.fits(&sink.staged, list.full)?;
         // Also without changes: applying a list removes endpoints that left the list long ago.
         exchange.apply(sink.staged, list.full).await;
+        exchange.record_list_version(list.version, self.connection.address());
         let received = if list.entries_read > 0 { Received::Entries } else { Received::NoEntries };
-        if list.full || received == Received::Entries {
+        // The first call also shows that discovery was reached and has nothing newer.
+        let is_first = !std::mem::replace(&mut self.has_succeeded, true);
+        if is_first || list.full || received == Received::Entries {
             log::info!("discovery: version {}, {} entries", list.version, list.entries_read);
         }
         self.record_in_force(&list);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod response_matching;
 pub mod round_phase;
 mod slot_candidates;
+pub mod starting_list;
 mod state;
 mod token_bucket;
 mod upstream;
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -14,6 +14,9 @@
 /// Memory for the calls with notices that may be in flight at once, in bytes.
 const NOTICE_CALLS_BYTES: u64 = 512 * 1024;
 
+/// The part of the state folder that records the list in force.
+const LIST_RECORD_DIVISOR: u64 = 16;
+
 /// The resource limits of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -34,8 +37,10 @@
     pub process: u64,
     /// Open connections, without the input and output that they hold.
     pub connections: u64,
-    /// The files of the state folder.
+    /// The files of the journal.
     pub journal: u64,
+    /// The files of the record of the list in force, and their index.
+    pub list_record: u64,
     /// Packets that are held, and the requests that carry them.
     pub packets: u64,
     /// Responses to calls.
@@ -63,11 +68,14 @@
     /// fixed shares cannot be divided: lists get three eighths there, and the shares exceed the limit.
     pub fn new(limits: ProcessLimits) -> MemoryBudget {
         let memory = limits.memory_bytes;
-        let journal = limits.disk_bytes.min(memory / 8);
+        let disk = limits.disk_bytes.min(memory / 8);
+        let list_record = disk / LIST_RECORD_DIVISOR;
+        let journal = disk - list_record;
         let mut budget = MemoryBudget {
             process: PROCESS_BYTES,
             connections: limits.descriptors * BYTES_PER_CONNECTION,
             journal,
+            list_record: list_record * 2,
             // The journal accepts packets up to half of its size; a request contains them in Base64 at most.
             packets: journal / 2 + journal * 2 / 3,
             responses: limits.slots * BYTES_PER_RESPONSE,
@@ -87,11 +95,12 @@
     }
 
     /// Each share with its name.
-    pub fn shares(&self) -> [(&'static str, u64); 13] {
+    pub fn shares(&self) -> [(&'static str, u64); 14] {
         [
             ("process", self.process),
             ("connections", self.connections),
             ("journal", self.journal),
+            ("list record", self.list_record),
             ("packets", self.packets),
             ("responses", self.responses),
             ("extra responses", self.extra_responses),
@@ -110,6 +119,11 @@
         self.shares().iter().map(|(_, bytes)| bytes).sum()
     }
 
+    /// Size of the files of the record of the list in force, in bytes.
+    pub fn list_record_files(&self) -> u64 {
+        self.list_record / 2
+    }
+
     /// Number of responses that may be read at once while no call is waiting for them.
     pub fn max_extra_responses(&self) -> usize {
         (self.extra_responses / BYTES_PER_RESPONSE).max(1) as usize
