What came while the process stood still is read before anything is sent or declared over

Cause: a stop ends epoll_wait with EINTR and no events, and the runtime then fires the timers that ran out before it polls for input.

Change: a round begins behind a poll; a call's first byte is behind a poll at most 5 ms old (policy: input_share::must_read_input), before the permit looks at the list and the waits; whoever waits for input until a deadline looks once more behind a poll (deadline.rs).

--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients.rs
@@ -18,6 +18,7 @@
 
 use crate::client_input::{CHUNK_BYTES, ChunkPool, PendingInput};
 use crate::config::ResourceLimits;
+use crate::deadline;
 use crate::exchange::{Exchange, SubmitReply};
 use crate::input_turns::{InputTurn, InputTurns};
 use crate::memory_share::{MemoryShare, Reservation};
@@ -438,7 +439,7 @@
             () = closed_by_us, if idle => {
                 return Err(if self.stopping.get() { "stopping" } else { "evicted" });
             }
-            () = sleep_until((started_at + IO_TIMEOUT).into()), if in_command => return Err("slow"),
+            () = deadline::passed((started_at + IO_TIMEOUT).into()), if in_command => return Err("slow"),
         };
         connection.has_received.set(true);
         match read {
--- a/crates/sailcart-sender/src/endpoints/mod.rs
+++ b/crates/sailcart-sender/src/endpoints/mod.rs
@@ -17,10 +17,11 @@
 use sailcart::{EndpointId, Outcome};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::sleep;
 
 use self::send::{Ending, SentResult, send};
 use self::settle::read_until_settled;
+use crate::deadline::until;
 use crate::endpoint_connection::{EndpointConnection, IdleState};
 use crate::exchange::invariants::Refusal;
 use crate::local_errors;
@@ -95,6 +96,7 @@
         mut connection: EndpointConnection,
         owner: &Rc<impl CallOwner>,
     ) -> CallResult {
+        owner.read_input().await;
         let permit = match owner.permit(call) {
             Ok(permit) => permit,
             Err(refusal) => {
@@ -212,7 +214,7 @@
         self.pool.borrow_mut().close_oldest(call.endpoint, "replaced");
         let deadline = call.started_at + call.timeout.min(self.connect_timeout);
         let connected = tokio::select! {
-            connected = timeout_at(deadline.into(), TcpStream::connect(call.address)) => connected,
+            connected = until(deadline.into(), TcpStream::connect(call.address)) => connected,
             () = call.cancelled.notified() => return Err(Outcome::NoConnection),
         };
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
--- a/crates/sailcart-sender/src/endpoints/send.rs
+++ b/crates/sailcart-sender/src/endpoints/send.rs
@@ -9,11 +9,11 @@
 use sailcart::Outcome;
 use sailcart::response_matching::Attribution;
 use tokio::io::AsyncWriteExt;
-use tokio::time::timeout_at;
 
 use super::log_lines::{PacketIds, ResponseSummary, log_code};
 use super::same_for_all;
 use super::settle::record_extra_response;
+use crate::deadline::until;
 use crate::endpoint_connection::{EndpointConnection, RESPONSE_READ_TIMEOUT};
 use crate::exchange::invariants::Permit;
 use crate::outgoing::{Call, CallOwner, ReceivedResponse, SentCall};
@@ -70,7 +70,7 @@
     let sent_call = SentCall::of(call);
     connection.begin_call(sent_call.clone());
     let result = tokio::select! {
-        result = timeout_at(
+        result = until(
             deadline.into(),
             round_trip(call, connection, &request, &mut written, &mut response, owner)
         ) => {
@@ -161,7 +161,7 @@
     let settled_at = (received_at + owner.settle_time()).min(call.started_at + call.timeout);
     loop {
         let mut response = Response::default();
-        match timeout_at(settled_at.into(), connection.read_response(MAX_BODY_BYTES, &mut response)).await {
+        match until(settled_at.into(), connection.read_response(MAX_BODY_BYTES, &mut response)).await {
             Err(_) => {
                 let outcomes = remaining_waits(&sent.outcomes, received_at.elapsed());
                 return SentResult { outcomes, ending: Ending::Close("in_doubt"), ..sent };
--- a/crates/sailcart-sender/src/endpoints/settle.rs
+++ b/crates/sailcart-sender/src/endpoints/settle.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use sailcart::EndpointId;
-use tokio::time::timeout_at;
 
 use super::log_lines::log_code;
+use crate::deadline::until;
 use crate::endpoint_connection::EndpointConnection;
 use crate::outgoing::{CallOwner, CallsInDoubt, MAX_KEPT_BODY_BYTES, ReceivedResponse};
 use crate::response::Response;
@@ -23,7 +23,7 @@
     loop {
         let mut response = Response::default();
         let Ok(read) =
-            timeout_at(settled_at.into(), connection.read_response(MAX_KEPT_BODY_BYTES, &mut response)).await
+            until(settled_at.into(), connection.read_response(MAX_KEPT_BODY_BYTES, &mut response)).await
         else {
             has_extra_input |= response.first_byte_at.is_some();
             break;
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use sailcart::input_share::must_read_input;
 use sailcart::response_doubt::ConnectionChoice;
 use sailcart::response_matching::{Attribution, Candidates};
 use sailcart::{EndpointId, KeyId, Outcome, PacketId};
@@ -41,6 +42,12 @@
         }
     }
 
+    async fn read_input(&self) {
+        if must_read_input(self.input_read_at.get().elapsed()) {
+            self.read_arrived_input().await;
+        }
+    }
+
     fn permit(&self, call: &Call) -> Result<Permit, Refusal> {
         let Inner { sender, host, .. } = &mut *self.inner.borrow_mut();
         let now = host.clock.now();
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -29,6 +29,7 @@
 use self::host_state::HostState;
 pub use self::packets::SubmitReply;
 pub use self::staged::{ListTooLarge, StagedList};
+use crate::deadline;
 use crate::endpoints::Endpoints;
 use crate::memory::Notice;
 use crate::memory::ledger::Ledger;
@@ -58,6 +59,8 @@
     slow_rounds: Cell<u64>,
     /// The record of the list in force; `None` if it is not recorded.
     list_record: RefCell<Option<ListRecord>>,
+    /// When the input that had arrived was read last.
+    input_read_at: Cell<Instant>,
 }
 
 struct Inner<F: Files> {
@@ -89,6 +92,7 @@
             notices_acknowledged,
             slow_rounds: Cell::new(0),
             list_record: RefCell::default(),
+            input_read_at: Cell::new(Instant::now()),
         }
     }
 
@@ -205,6 +209,13 @@
         }
     }
 
+    /// Lets the other tasks read the input that has arrived: the process may have stood still, and a decision without
+    /// it would go by an old list, break a wait, or take a response for missing.
+    async fn read_arrived_input(&self) {
+        deadline::input_reported().await;
+        self.input_read_at.set(Instant::now());
+    }
+
     /// When the next round is due without further input.
     fn next_round(&self) -> Instant {
         let host = &self.inner.borrow().host;
@@ -224,6 +235,7 @@
                 () = self.round_requested.notified() => {}
                 () = sleep_until(next_round.into()) => {}
             }
+            self.read_arrived_input().await;
             let start = Instant::now();
             let Round { endpoints_to_close, calls } = self.decide();
             self.log_slow_round(start.elapsed());
--- a/crates/sailcart-sender/src/lib.rs
+++ b/crates/sailcart-sender/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client_input;
 pub mod clients;
 pub mod config;
+pub mod deadline;
 pub mod endpoint_connection;
 pub mod endpoints;
 pub mod exchange;
--- a/crates/sailcart-sender/src/outgoing.rs
+++ b/crates/sailcart-sender/src/outgoing.rs
@@ -139,6 +139,9 @@
     /// Whether a connection in doubt waits for the settle time before it carries another call.
     fn must_settle_before_reuse(&self) -> bool;
 
+    /// Waits until the input that has arrived was read, unless it was read just now.
+    fn read_input(&self) -> impl Future<Output = ()>;
+
     /// Decides, once a call is connected and before its first byte is sent, whether it may still be sent. If
     /// so, it has been recorded in the journal.
     fn permit(&self, call: &Call) -> Result<Permit, Refusal>;
--- a/crates/sailcart-sender/src/platform/connection.rs
+++ b/crates/sailcart-sender/src/platform/connection.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::deadline::until;
 use crate::local_errors;
 use crate::response::{self, BodySink, Response, TimeLimit};
 use crate::socket::Socket;
@@ -94,7 +95,8 @@
     ) -> Result<Response, S::Error> {
         let ResponseLimits { base_time, min_bytes_per_second, max_body_bytes } = limits;
         let time_limit = TimeLimit { started_at: Instant::now(), base_time, min_bytes_per_second };
-        let mut stream = timeout(base_time, self.send(bytes)).await.map_err(io::Error::from)??;
+        let mut stream =
+            until(time_limit.started_at + base_time, self.send(bytes)).await.map_err(io::Error::from)??;
         let response = response::read_to_sink(&mut stream, max_body_bytes, time_limit, sink).await?;
         if response.is_reusable() {
             stream.clear_read_readiness();
--- a/crates/sailcart-sender/src/response.rs
+++ b/crates/sailcart-sender/src/response.rs
@@ -8,8 +8,9 @@
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::Instant;
 
+use crate::deadline::until;
 use crate::wire::http::{self, BodyLength, Head};
 use crate::wire::{ParseResult, chunked};
 
@@ -138,7 +139,8 @@
         }
         response.first_byte_at.get_or_insert_with(std::time::Instant::now);
         let mut body = Vec::new();
-        let status = timeout(read_timeout, reader.read_response(response, &mut body)).await;
+        let reading = reader.read_response(response, &mut body);
+        let status = until(Instant::now() + read_timeout, reading).await;
         // After an interim response, the final one is still to come.
         if status.unwrap_or_else(|_| Err(invalid_data("response incomplete at its time limit")))? >= 200 {
             response.fingerprint = Some(fingerprint(response.head_hash, &body));
@@ -347,7 +349,7 @@
         }
         let reading = self.stream.read_buf(self.buffer);
         match self.time_limit {
-            Some(time_limit) => timeout_at(time_limit.deadline(self.body_bytes), reading).await?,
+            Some(time_limit) => until(time_limit.deadline(self.body_bytes), reading).await?,
             None => reading.await,
         }
     }
