Calls with several packets are bounded by their bytes as well as by their number

Cause: calls were cut by the number of packets alone, in the module and in the host; a body of over 64 KiB is rejected as a whole.

Change: policy module call_size.rs bounds a call by packets and by bytes with the framing. The module puts calls together with it, so each takes its own token and slot; the host splits a round's dispatches to one endpoint by the same rule. Host::entry_bytes is 0 by default, so simulated hosts decide as before.

--- a/crates/sailcart-lab/src/policies/mod.rs
+++ b/crates/sailcart-lab/src/policies/mod.rs
@@ -91,6 +91,10 @@
         self.0.dispatch(packet, endpoint, timeout);
     }
 
+    fn entry_bytes(&self, packet: PacketId) -> usize {
+        self.0.entry_bytes(packet)
+    }
+
     fn cancel(&mut self, packet: PacketId, dispatch: u32) {
         self.0.cancel(packet, dispatch);
     }
--- a/crates/sailcart-sender/src/endpoints/send.rs
+++ b/crates/sailcart-sender/src/endpoints/send.rs
@@ -63,7 +63,7 @@
 ) -> SentResult {
     let deadline = call.started_at + call.timeout;
     let budget = deadline.saturating_duration_since(Instant::now());
-    let call_packets: Vec<CallPacket> = call.packets.iter().map(|packet| to_call_packet(packet)).collect();
+    let call_packets: Vec<CallPacket> = call.packets.iter().map(|packet| CallPacket::of(packet)).collect();
     let request = call::write(&call.address.to_string(), &call_packets, budget);
     let (mut written, mut response) = (false, Response::default());
     log::debug!("{}: written on {connection}", PacketIds(call));
@@ -255,7 +255,3 @@
         _ => Outcome::Reset,
     }
 }
-
-fn to_call_packet(packet: &crate::memory::Packet) -> CallPacket<'_> {
-    CallPacket { id: &packet.id, idempotency_key: packet.idempotency_key.as_deref(), body: &packet.body }
-}
--- a/crates/sailcart-sender/src/exchange/calls.rs
+++ b/crates/sailcart-sender/src/exchange/calls.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use sailcart::call_size::CallSize;
 use sailcart::input_share::must_read_input;
 use sailcart::response_doubt::ConnectionChoice;
 use sailcart::response_matching::{Attribution, Candidates};
-use sailcart::{EndpointId, KeyId, Outcome, PacketId};
+use sailcart::{EndpointId, Host, KeyId, Outcome, PacketId};
 use sailcart_store::Files;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
@@ -199,13 +200,13 @@
 
 impl<F: Files> HostState<F> {
     /// Removes the dispatches of this round and groups them into calls: those to one endpoint share a call,
-    /// up to the batch of its kind.
+    /// up to the batch of its kind and the size of a call.
     pub(super) fn take_calls(&mut self) -> Vec<Call> {
         let mut calls = Vec::new();
         for (endpoint, dispatches) in std::mem::take(&mut self.dispatches) {
             let Some(EndpointSpec { address, kind, .. }) = self.directory.spec(endpoint) else { continue };
             let batch = self.max_batch_by_kind[usize::from(kind)];
-            for chunk in dispatches.chunks(batch) {
+            for chunk in self.split_into_calls(&dispatches, batch) {
                 let cancelled = Rc::new(Notify::new());
                 let ids = chunk.iter().map(|(id, _)| *id);
                 for id in ids.clone() {
@@ -223,6 +224,24 @@
         calls
     }
 
+    /// Splits the dispatches to one endpoint, in their order.
+    fn split_into_calls<'a>(
+        &self,
+        dispatches: &'a [(PacketId, Duration)],
+        max_packets: usize,
+    ) -> Vec<&'a [(PacketId, Duration)]> {
+        let (mut calls, mut rest) = (Vec::new(), dispatches);
+        while !rest.is_empty() {
+            let mut size = CallSize::default();
+            let fits =
+                |(packet, _): &&(PacketId, Duration)| size.try_add(self.entry_bytes(*packet), max_packets);
+            let (call, later) = rest.split_at(rest.iter().take_while(fits).count());
+            calls.push(call);
+            rest = later;
+        }
+        calls
+    }
+
     /// The key in whose order a packet is sent, or `None` if its category is not ordered or it has no key.
     pub(super) fn order_key(&self, packet: &Packet) -> Option<KeyId> {
         let category = *self.names.categories.get(&*packet.category)?;
--- a/crates/sailcart-sender/src/exchange/host.rs
+++ b/crates/sailcart-sender/src/exchange/host.rs
@@ -8,6 +8,7 @@
 
 use super::host_state::HostState;
 use crate::memory::Notice;
+use crate::wire::call::{self, CallPacket};
 
 impl<F: Files> Host for HostState<F> {
     fn dispatch(&mut self, packet: PacketId, endpoint: EndpointId, timeout: Duration) {
@@ -17,6 +18,10 @@
         }
     }
 
+    fn entry_bytes(&self, packet: PacketId) -> usize {
+        self.ledger.packet(packet).map_or(0, |packet| call::entry_bytes(&CallPacket::of(packet)))
+    }
+
     fn cancel(&mut self, packet: PacketId, _: u32) {
         if let Some(cancelled) = self.in_flight.get(&packet) {
             cancelled.notify_one();
--- a/crates/sailcart-sender/src/wire/call.rs
+++ b/crates/sailcart-sender/src/wire/call.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::http::{self, BodyLength, Head};
+use crate::memory::Packet;
 
 /// What a call carries of one packet.
 pub struct CallPacket<'a> {
@@ -19,6 +20,13 @@
     pub body: &'a [u8],
 }
 
+impl<'a> CallPacket<'a> {
+    /// What a call carries of this packet.
+    pub fn of(packet: &'a Packet) -> Self {
+        CallPacket { id: &packet.id, idempotency_key: packet.idempotency_key.as_deref(), body: &packet.body }
+    }
+}
+
 /// The outcome of a packet's dispatch, and whether the endpoint has settled the packet, so that no further
 /// dispatch of it is needed.
 pub type PacketOutcome = (Outcome, bool);
@@ -46,6 +54,24 @@
     entry
 }
 
+/// Number of bytes of a packet's entry in a call with several.
+pub fn entry_bytes(packet: &CallPacket) -> usize {
+    const EMPTY_ENTRY: &str = r#"{"body":"","id":""}"#;
+    const EMPTY_KEY: &str = r#","key":"""#;
+    let key = packet.idempotency_key.map_or(0, |key| EMPTY_KEY.len() + json_text_bytes(key));
+    EMPTY_ENTRY.len() + packet.body.len().div_ceil(3) * 4 + json_text_bytes(packet.id) + key
+}
+
+/// Number of bytes of a text in JSON, without its quotes.
+fn json_text_bytes(text: &str) -> usize {
+    let escaped = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+        0x00..=0x1f => 6,
+        _ => 1,
+    };
+    text.bytes().map(escaped).sum()
+}
+
 /// Whether the status line alone proves that the call's only packet was delivered. The rest of the response
 /// may then be missing or malformed.
 pub fn proves_delivery(status: Option<u16>, packets: usize) -> bool {
--- a/src/control.rs
+++ b/src/control.rs
@@ -45,6 +45,7 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
+use crate::call_size::CallSize;
 use crate::calls_in_flight::CallsInFlight;
 use crate::counting_map::CountingMap;
 use crate::decaying_counter::DecayingCounter;
@@ -1098,7 +1099,7 @@
         }
         let Some(endpoint_id) = self.choose_endpoint(id, round.probes) else { return false };
         let upstream_id = self.endpoints[&endpoint_id].upstream_id;
-        let packets = self.next_batch(id, upstream_id, round);
+        let packets = self.next_batch(id, upstream_id, round, host);
         if packets.is_empty() {
             return false;
         }
@@ -1138,6 +1139,7 @@
         id: DestinationId,
         upstream_id: UpstreamId,
         round: &mut DispatchRound,
+        host: &impl Host,
     ) -> Vec<PacketId> {
         let may_dispatch = |packet: &PacketId| {
             let tracked = self.packets.get(packet);
@@ -1155,12 +1157,15 @@
             ordered.into_iter().map(|(_, packet)| packet).collect()
         });
         let max_batch = self.destinations[&id].max_batch.max(1);
-        let mut batch = Vec::new();
-        while batch.len() < max_batch {
-            let Some(packet) = waiting.pop_front() else { break };
+        let (mut batch, mut size) = (Vec::new(), CallSize::default());
+        while let Some(packet) = waiting.front().copied() {
             if may_dispatch(&packet) {
+                if !size.try_add(host.entry_bytes(packet), max_batch) {
+                    break;
+                }
                 batch.push(packet);
             }
+            waiting.pop_front();
         }
         batch
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -243,8 +243,12 @@
 /// [`Sender::decide`](crate::Sender::decide).
 pub trait Host {
     /// Dispatches a packet. Dispatches of one round to one endpoint are sent as one call, up to the maximum
-    /// batch of the kind ([`Kind::max_batch`]).
+    /// batch of the kind ([`Kind::max_batch`]) and the size of a call ([`CallSize`](crate::call_size::CallSize)).
     fn dispatch(&mut self, packet: PacketId, endpoint: EndpointId, timeout: Duration);
+    /// Bytes that a packet takes in a call with several; 0 if calls are not limited by size.
+    fn entry_bytes(&self, _packet: PacketId) -> usize {
+        0
+    }
     /// Cancels a packet's dispatch, numbered from 0. Its outcome is still reported.
     fn cancel(&mut self, packet: PacketId, dispatch: u32);
     /// Completes a packet as dismissed: submitting it again is harmless.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 //! that compete for slots (`slot_candidates`), the phases of a round (`round_phase`), a map that counts its accesses
 //! (`counting_map`), a token bucket (`token_bucket`) and an exponentially decaying counter (`decaying_counter`).
 
+pub mod call_size;
 mod calls_in_flight;
 pub mod control;
 mod counting_map;
