Clients: the state of a connection and the replies to it in files of their own

The state of a connection and the pending replies are moved to clients/connection.rs and clients/replies.rs; Connection::new takes the place of a construction in the middle of Clients.

--- a/crates/sailcart-sender/src/clients.rs
+++ b/crates/sailcart-sender/src/clients/mod.rs
@@ -2,6 +2,9 @@
 //! for input and replies is bounded over all connections; when that for input is used up, the policy module
 //! decides whose incomplete command is discarded.
 
+mod connection;
+mod replies;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -9,19 +12,20 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use sailcart::memory_budget::{IncompleteCommand, input_to_discard};
+use sailcart::memory_budget::input_to_discard;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::client_input::{CHUNK_BYTES, ChunkPool, PendingInput};
+use self::connection::Connection;
+use self::replies::{PendingCommand, PendingReply, Reply, next_reply, write_replies};
+use crate::client_input::{CHUNK_BYTES, ChunkPool};
 use crate::config::ResourceLimits;
 use crate::deadline;
-use crate::exchange::{Exchange, SubmitReply};
+use crate::exchange::Exchange;
 use crate::input_turns::{InputTurn, InputTurns};
-use crate::memory_share::{MemoryShare, Reservation};
+use crate::memory_share::MemoryShare;
 use crate::socket::Socket;
 use crate::wire::resp::{self, Command};
 
@@ -35,8 +39,6 @@
 const PENDING_COMMAND_BYTES: usize = 256;
 /// Delay before a connection looks again for memory to store its input.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(5);
-/// Replies are written together up to this size.
-const MAX_JOINED_REPLY_BYTES: usize = 4 * 1024;
 /// Bounds a graceful close: how long the client's input is still read, and discarded, after this side has
 /// closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -59,47 +61,6 @@
 /// for some reason.
 type ConnectionResult = Result<std::convert::Infallible, &'static str>;
 
-/// State of an open connection that the tasks of other connections use.
-struct Connection {
-    /// Something was received on it.
-    has_received: Cell<bool>,
-    /// When it became idle; `None` while a command is being received or waits for its reply, and once it is
-    /// closing.
-    idle_since: Cell<Option<Instant>>,
-    /// Number of commands rejected because they name something unknown.
-    rejected_commands: Cell<u64>,
-    /// When the first byte of the command that is being received arrived.
-    command_started_at: Cell<Option<Instant>>,
-    opened_at: Instant,
-    /// Signalled to close the connection as soon as it is idle.
-    close_requested: Notify,
-    input: RefCell<PendingInput>,
-    /// Signalled when the input was discarded.
-    input_discarded: Notify,
-    /// Something may have arrived that waits for its turn to be read.
-    has_unread_input: Cell<bool>,
-    /// Signalled when it was read, or nothing had arrived.
-    unread_input_checked: Notify,
-}
-
-impl Connection {
-    /// The command of which a part has been received.
-    fn incomplete_command(&self) -> IncompleteCommand<&Self> {
-        let silent_for =
-            if self.has_unread_input.get() { Duration::ZERO } else { self.input.borrow().silent_for() };
-        let received_for = self.command_started_at.get().map_or(Duration::ZERO, |start| start.elapsed());
-        IncompleteCommand { id: self, silent_for, received_for }
-    }
-
-    /// Waits until whatever has arrived was read.
-    async fn nothing_unread(&self) {
-        yield_now().await; // what has arrived by now is noticed first
-        while self.has_unread_input.get() {
-            self.unread_input_checked.notified().await;
-        }
-    }
-}
-
 /// The client connections of a sender.
 pub struct Clients {
     exchange: Rc<Exchange>,
@@ -262,21 +223,7 @@
     }
 
     fn register(&self) -> (u64, Rc<Connection>) {
-        let (has_received, idle_since) = (Cell::new(false), Cell::new(Some(Instant::now())));
-        let (command_started_at, close_requested) = (Cell::new(None), Notify::new());
-        let (rejected_commands, opened_at) = (Cell::new(0), Instant::now());
-        let connection = Rc::new(Connection {
-            has_received,
-            idle_since,
-            rejected_commands,
-            command_started_at,
-            opened_at,
-            close_requested,
-            input: RefCell::default(),
-            input_discarded: Notify::new(),
-            has_unread_input: Cell::new(false),
-            unread_input_checked: Notify::new(),
-        });
+        let connection = Rc::new(Connection::new());
         let number = self.next_number.replace(self.next_number.get() + 1);
         self.connections.borrow_mut().insert(number, connection.clone());
         (number, connection)
@@ -576,80 +523,6 @@
     End,
 }
 
-/// A command whose bytes are no longer needed, and whose reply is not written yet.
-struct PendingCommand {
-    reply: PendingReply,
-    /// The memory of the command and of its reply.
-    reservation: Reservation,
-}
-
-enum PendingReply {
-    /// The reply is known.
-    Ready(Vec<u8>),
-    /// The packet was submitted to the exchange.
-    Submitted(tokio::sync::oneshot::Receiver<SubmitReply>),
-}
-
-impl PendingReply {
-    /// Waits for the reply. Cancel safe: the future may be dropped and recreated until it has returned the
-    /// reply.
-    async fn wait(&mut self, connection: &Connection) -> Vec<u8> {
-        let submit_reply = match self {
-            PendingReply::Ready(reply) => return std::mem::take(reply),
-            PendingReply::Submitted(submit_reply) => submit_reply.await,
-        };
-        match submit_reply {
-            Ok(SubmitReply::Accepted) => resp::ACCEPTED.to_vec(),
-            Ok(SubmitReply::Dismissed(wait)) => resp::busy(wait),
-            Ok(SubmitReply::Scrapped) => resp::error("given up"),
-            Ok(SubmitReply::Unknown(what)) => reject(what, connection),
-            Err(_) => resp::busy(None),
-        }
-    }
-}
-
-/// A reply with the reservation of its memory.
-struct Reply {
-    bytes: Vec<u8>,
-    _reservation: Option<Reservation>,
-}
-
-/// Waits for the reply to the first pending command and removes the command. Cancel safe, as is
-/// [`PendingReply::wait`].
-async fn next_reply(pending: &mut VecDeque<PendingCommand>, connection: &Connection) -> Reply {
-    let Some(command) = pending.front_mut() else { return Reply { bytes: Vec::new(), _reservation: None } };
-    let bytes = command.reply.wait(connection).await;
-    let command = pending.pop_front();
-    Reply { bytes, _reservation: command.map(|command| command.reservation) }
-}
-
-/// Writes a reply together with those that follow it, are already known and are short.
-async fn write_replies(
-    stream: &mut Socket,
-    first: Reply,
-    pending: &mut VecDeque<PendingCommand>,
-    replies_sent: &mut u64,
-) -> Result<(), &'static str> {
-    let Reply { bytes: mut replies, _reservation } = first;
-    *replies_sent += 1;
-    while let Some(PendingCommand { reply: PendingReply::Ready(next), .. }) = pending.front() {
-        if replies.len() + next.len() > MAX_JOINED_REPLY_BYTES {
-            break;
-        }
-        replies.extend_from_slice(next);
-        pending.pop_front();
-        *replies_sent += 1;
-    }
-    if pending.is_empty() {
-        *pending = VecDeque::new();
-    }
-    match timeout(IO_TIMEOUT, stream.write_all(&replies)).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) => Err("reset"),
-        Err(_) => Err("slow"),
-    }
-}
-
 /// Counts a command that names something unknown, and returns the error reply. Logs only the first of a
 /// connection; their number is logged when the connection ends. Otherwise a client that retries at once after
 /// each rejection would fill the log.
