Clients: new commands wait while a round is about to begin

What callers saw: of 200 packets written at once 5 to 18 were never accepted.

Cause: a round lets everybody with input run first, and clients' commands thereby had one more share of input between two rounds; the hold overflowed and packets were shed.

Change: commands of clients wait from the poll before a round to the round. Responses, lists and notices are read as before.

--- a/crates/sailcart-sender/src/clients/mod.rs
+++ b/crates/sailcart-sender/src/clients/mod.rs
@@ -98,6 +98,7 @@
         let (connection_released, stopping, accept_stopped) =
             (Notify::new(), Cell::new(false), Notify::new());
         let accept_errors = Cell::new(0);
+        let input_turns = InputTurns::new(exchange.clone());
         Rc::new(Clients {
             exchange,
             max_connections: limits.max_clients,
@@ -110,7 +111,7 @@
             accept_errors,
             chunks: ChunkPool::new(limits.memory.client_input),
             replies: MemoryShare::new(limits.memory.replies),
-            input_turns: InputTurns::new(),
+            input_turns,
             read_buffer: RefCell::new(vec![0; READ_BYTES].into()),
             parse_buffer: RefCell::default(),
             discarded: Cell::new(0),
--- a/crates/sailcart-sender/src/exchange/mod.rs
+++ b/crates/sailcart-sender/src/exchange/mod.rs
@@ -61,6 +61,8 @@
     list_record: RefCell<Option<ListRecord>>,
     /// When the input that had arrived was read last.
     input_read_at: Cell<Instant>,
+    /// A round is about to begin: it comes before new commands of clients.
+    round_begins: Cell<bool>,
 }
 
 struct Inner<F: Files> {
@@ -93,6 +95,7 @@
             slow_rounds: Cell::new(0),
             list_record: RefCell::default(),
             input_read_at: Cell::new(Instant::now()),
+            round_begins: Cell::new(false),
         }
     }
 
@@ -209,6 +212,12 @@
         }
     }
 
+    /// Whether new commands of clients wait, as a round is about to begin: in a burst, a round would otherwise have
+    /// more of them to hold than it can send.
+    pub fn round_begins(&self) -> bool {
+        self.round_begins.get()
+    }
+
     /// Lets the other tasks read the input that has arrived: the process may have stood still, and a decision without
     /// it would go by an old list, break a wait, or take a response for missing.
     async fn read_arrived_input(&self) {
@@ -235,7 +244,9 @@
                 () = self.round_requested.notified() => {}
                 () = sleep_until(next_round.into()) => {}
             }
+            self.round_begins.set(true);
             self.read_arrived_input().await;
+            self.round_begins.set(false);
             let start = Instant::now();
             let Round { endpoints_to_close, calls } = self.decide();
             self.log_slow_round(start.elapsed());
--- a/crates/sailcart-sender/src/input_turns.rs
+++ b/crates/sailcart-sender/src/input_turns.rs
@@ -2,12 +2,15 @@
 //! of the process from running. How much a turn processes is decided in `sailcart::input_share`.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Instant;
 
 use sailcart::input_share::{InputShare, commands_at_once};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::yield_now;
 
+use crate::exchange::Exchange;
+
 /// The turns of all connections.
 pub struct InputTurns {
     /// Held by the connection that processes input. Waiting connections get it in the order in which they came.
@@ -15,14 +18,17 @@
     /// Number of connections that process input or wait for it.
     waiting: Cell<usize>,
     share: Cell<InputShare>,
+    exchange: Rc<Exchange>,
 }
 
 impl InputTurns {
-    pub fn new() -> Self {
+    /// Turns between the rounds of this exchange.
+    pub fn new(exchange: Rc<Exchange>) -> Self {
         InputTurns {
             processing: Semaphore::new(1),
             waiting: Cell::new(0),
             share: Cell::new(InputShare::default()),
+            exchange,
         }
     }
 
@@ -35,6 +41,9 @@
             yield_now().await;
             self.share.set(InputShare::default());
         }
+        while self.exchange.round_begins() {
+            yield_now().await;
+        }
         InputTurn {
             turns: self,
             max_commands: commands_at_once(self.waiting.get()),
@@ -44,12 +53,6 @@
     }
 }
 
-impl Default for InputTurns {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Counts a connection as waiting until it is dropped.
 struct Waiting<'a>(&'a Cell<usize>);
 
