--- a/crates/sailcart-sender/src/memory/list_record.rs
+++ b/crates/sailcart-sender/src/memory/list_record.rs
@@ -145,7 +145,7 @@
     /// Something could not be deleted. The record must not be used then.
     pub fn restart(&mut self) -> Result<(), StoreError> {
         let keys: Vec<Box<[u8]>> = self.store.keys(&[], None).map(Box::from).collect();
-        // The header goes last: without it the rest counts for nothing.
+        // The header goes first: without it the rest counts for nothing.
         let (header, endpoints): (Vec<_>, Vec<_>) = keys.into_iter().partition(|key| **key == *HEADER_KEY);
         for key in header.iter().chain(&endpoints) {
             self.store.write(&[Change::Delete(key)])?;
